--- /dev/null
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -0,0 +1,86 @@
+package org.fescuehollow.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** The commands of the command line. Immutable and safe for use by any thread. */
+enum Command {
+    /** Runs an entry process. */
+    SERVE("serve", "run an entry process until it is told to stop") {
+        @Override
+        void configure(Subparser p) {
+            p.addArgument("--config").required(true).help("the process's settings, YAML");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            return new ServeCommand(out).run(o.getString("config"));
+        }
+    },
+    /** Checks settings files. */
+    CHECK("check", "check settings files before they are published") {
+        @Override
+        void configure(Subparser p) {
+            p.addArgument("file").nargs("+").help("files under teams/, services/, or a node's own");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            return new CheckCommand(out, err).run(o.getList("file"));
+        }
+    },
+    /** Shows the whole path with stand-ins. */
+    DEMO("demo", "run an entry process with stand-ins and send it requests") {
+        @Override
+        void configure(Subparser p) {
+            p.addArgument("--once")
+                    .action(Arguments.storeTrue())
+                    .help("exit after the requests; non-zero if an answer was wrong");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            return new DemoCommand(out).run(o.getBoolean("once"));
+        }
+    },
+    /** Prints a process's state. */
+    DUMP("dump", "print the state of a running process as JSON") {
+        @Override
+        void configure(Subparser p) {
+            p.addArgument("--admin").required(true).help("the operators' port, HOST:PORT");
+            p.addArgument("--key").setDefault("").help("the operators' key, if one is set");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            return new DumpCommand(out).run(o.getString("admin"), o.getString("key"));
+        }
+    };
+
+    private final String mWord;
+    private final String mHelp;
+
+    Command(String word, String help) {
+        mWord = word;
+        mHelp = help;
+    }
+
+    static Command of(String word) {
+        return Arrays.stream(values()).filter(c -> c.mWord.equals(word)).findFirst().orElseThrow();
+    }
+
+    String word() {
+        return mWord;
+    }
+
+    String help() {
+        return mHelp;
+    }
+
+    abstract void configure(Subparser parser);
+
+    abstract int run(Namespace options, PrintStream out, PrintStream err);
+}
--- /dev/null
+++ b/cli/src/main/java/org/fescuehollow/cli/DemoCaller.java
@@ -0,0 +1,129 @@
+package org.fescuehollow.cli;
+
+import static org.fescuehollow.error.ShouldReachPeer.shouldReachPeer;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.fescuehollow.error.FescuehollowException;
+import org.fescuehollow.error.RunState;
+import org.fescuehollow.server.platform.Json;
+import org.fescuehollow.standins.Deployment;
+
+/** Sends the demo's requests and checks the answers. Used from one thread. */
+final class DemoCaller {
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final int READY_POLLS = 500;
+
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private final String mBase;
+
+    DemoCaller(int port) {
+        mBase = "http://127.0.0.1:" + port;
+    }
+
+    void awaitReady(int adminPort) {
+        URI ready = URI.create("http://127.0.0.1:" + adminPort + "/readyz");
+        for (int i = 0; i < READY_POLLS; i++) {
+            if (send(HttpRequest.newBuilder(ready)).statusCode() == 200) {
+                return;
+            }
+            pause();
+        }
+        throw new FescuehollowException(
+                shouldReachPeer("the demo's own process", RunState.NOT_RUN, "it isn't ready"));
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    DemoResult complete(String model, String prompt, boolean stream) {
+        ObjectNode body = Json.object().put("model", model).put("stream", stream);
+        body.putArray("messages").addObject().put("role", "user").put("content", prompt);
+        HttpResponse<String> response =
+                send(post("/v1/chat/completions", Json.write(body).toString()));
+        String text = response.body();
+        boolean ok =
+                stream
+                        ? text.endsWith("data: [DONE]\n\n")
+                                && words(text).equals(model + " " + prompt)
+                        : text.contains("\"" + model + " " + prompt + "\"");
+        return result(model, response, ok && response.statusCode() == 200);
+    }
+
+    private static String words(String events) {
+        return events.lines()
+                .filter(l -> l.startsWith("data: {"))
+                .map(l -> Json.read("event", l.substring(6).getBytes(StandardCharsets.UTF_8)))
+                .map(e -> e.at("/choices/0/delta/content").asText())
+                .collect(Collectors.joining());
+    }
+
+    DemoResult book(String visit) {
+        String minted = send(post("/v1/tickets", "")).body();
+        String ticket =
+                Json.read("ticket", minted.getBytes(StandardCharsets.UTF_8))
+                        .path("ticket")
+                        .asText();
+        HttpRequest.Builder first = post("/services/bookings/visits", visit);
+        first.header("Idempotency-Key", "\"" + ticket + "\"");
+        HttpResponse<String> response = send(first);
+        return result("bookings", response, response.body().contains(visit));
+    }
+
+    DemoResult refused(String model) {
+        String body = "{\"model\": \"" + model + "\", \"prompt\": \"x\"}";
+        HttpResponse<String> response = send(post("/v1/completions", body));
+        boolean ok =
+                response.statusCode() == 404 && response.body().contains("\"ran\":\"not_run\"");
+        return new DemoResult(model, "-", "refused", 0, ok);
+    }
+
+    private DemoResult result(String target, HttpResponse<String> response, boolean ok) {
+        boolean stalled = header(response, "X-Adapter-Stalled").equals("true");
+        String waited = header(response, "X-Waited-Micros");
+        return new DemoResult(
+                target,
+                header(response, "X-Served-By"),
+                stalled ? "loaded" : "resident",
+                waited.isEmpty() ? 0 : Long.parseLong(waited),
+                ok);
+    }
+
+    private static String header(HttpResponse<String> response, String name) {
+        return response.headers().firstValue(name).orElse("");
+    }
+
+    private HttpRequest.Builder post(String path, String body) {
+        return HttpRequest.newBuilder(URI.create(mBase + path))
+                .header("Content-Type", "application/json")
+                .header("Authorization", "Bearer " + Deployment.RENNES_KEY)
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) {
+        try {
+            return mClient.send(
+                    request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new FescuehollowException(
+                    shouldReachPeer("the demo's own process", RunState.OUTCOME_UNKNOWN, "" + e));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new FescuehollowException(
+                    shouldReachPeer("the demo's own process", RunState.OUTCOME_UNKNOWN, "" + e));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fescuehollow/cli/DemoCommand.java
@@ -0,0 +1,83 @@
+package org.fescuehollow.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.fescuehollow.server.FescuehollowServer;
+import org.fescuehollow.server.config.NodeConfig;
+import org.fescuehollow.standins.Deployment;
+import org.fescuehollow.standins.EngineOptions;
+
+/** Runs an entry process with stand-ins and sends it requests. Used from one thread. */
+final class DemoCommand {
+    private static final int ENGINES = 2;
+    private static final long LOAD_MILLIS = 250;
+    private static final List<String> MODELS =
+            List.of(
+                    "care-notes@v1",
+                    "care-notes@v1",
+                    "care-notes@v2",
+                    "profiles@v1",
+                    "care-notes@v1",
+                    "profiles@v1");
+
+    private final PrintStream mOut;
+
+    DemoCommand(PrintStream out) {
+        mOut = out;
+    }
+
+    int run(boolean once) {
+        try (Deployment stands =
+                Deployment.open(ENGINES, new EngineOptions(2, 5, false), LOAD_MILLIS)) {
+            FescuehollowServer server =
+                    FescuehollowServer.of(NodeConfig.parse("demo", stands.nodeYaml()));
+            server.start();
+            try {
+                boolean ok = sendAll(server);
+                if (!once) {
+                    serveOn(server);
+                }
+                return ok ? 0 : 1;
+            } finally {
+                server.stop();
+            }
+        }
+    }
+
+    private boolean sendAll(FescuehollowServer server) {
+        DemoCaller caller = new DemoCaller(server.callersPort());
+        caller.awaitReady(server.adminPort());
+        mOut.printf("%-16s %-12s %-10s %10s  %s%n", "adapter", "server", "loaded", "waited", "ok");
+        boolean ok = true;
+        for (int i = 0; i < MODELS.size(); i++) {
+            ok &= print(caller.complete(MODELS.get(i), "visit number " + i, i % 2 == 1));
+        }
+        ok &= print(caller.book("book visit 7"));
+        ok &= print(caller.refused("answers@v1"));
+        return ok;
+    }
+
+    private boolean print(DemoResult r) {
+        mOut.printf(
+                "%-16s %-12s %-10s %7.1f ms  %s%n",
+                r.target(), r.server(), r.loaded(), r.waitedMicros() / 1_000.0, r.ok());
+        return r.ok();
+    }
+
+    private void serveOn(FescuehollowServer server) {
+        String base = "http://127.0.0.1:" + server.callersPort();
+        mOut.printf(
+                "%nserving at %s, operators at http://127.0.0.1:%d; stop with Ctrl-C%n",
+                base, server.adminPort());
+        mOut.printf(
+                "export CALLERS=%s OPERATORS=http://127.0.0.1:%d KEY=%s%n",
+                base, server.adminPort(), Deployment.RENNES_KEY);
+        mOut.flush();
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ErrorCode.java
@@ -0,0 +1,71 @@
+package org.fescuehollow.error;
+
+import java.util.Locale;
+
+/**
+ * Stable codes of everything that can be refused or fail, with the HTTP status that callers see.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public enum ErrorCode {
+    /** The request has no valid key. */
+    UNAUTHENTICATED(401),
+    /** The team may not call this adapter or service, or it does not exist. */
+    UNKNOWN_TARGET(404),
+    /** The request's form is wrong. */
+    INVALID_REQUEST(400),
+    /** The body exceeds the limit. */
+    BODY_TOO_LARGE(413),
+    /** The idempotency key was used before with another request. */
+    KEY_REUSED(422),
+    /** The request with this key is still running. */
+    KEY_IN_PROGRESS(409),
+    /** The request needs a ticket as its idempotency key. */
+    TICKET_REQUIRED(428),
+    /** Nobody can tell whether the request with this key ran. */
+    KEY_OUTCOME_UNKNOWN(409),
+    /** No backend server could take the request in time. */
+    NO_CAPACITY(503),
+    /** The request's deadline passed before it was sent. */
+    DEADLINE_PASSED(504),
+    /** The adapter could not be loaded. */
+    LOAD_FAILED(503),
+    /** The backend server failed before or while answering. */
+    BACKEND_FAILED(502),
+    /** The answer broke off. */
+    ANSWER_INCOMPLETE(502),
+    /** The request has crashed backend servers before. */
+    CRASHING_REQUEST(422),
+    /** The node is stopping. */
+    STOPPING(503),
+    /** Settings or a command line are invalid. */
+    INVALID_SETTINGS(500),
+    /** A platform service or another node can't be reached. */
+    UNREACHABLE(503),
+    /** A defect of this program. */
+    INTERNAL(500);
+
+    private final int mStatus;
+
+    ErrorCode(int status) {
+        mStatus = status;
+    }
+
+    /**
+     * Returns the HTTP status code.
+     *
+     * @return a code from RFC 9110 or RFC 6585
+     */
+    public int status() {
+        return mStatus;
+    }
+
+    /**
+     * Returns the code as written in problem documents and logs.
+     *
+     * @return lower case, words joined by underscores
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldAnswerWhole.java
@@ -0,0 +1,42 @@
+package org.fescuehollow.error;
+
+/** Errors of backend servers that fail before or while answering. Stateless. */
+public final class ShouldAnswerWhole {
+    private ShouldAnswerWhole() {}
+
+    /**
+     * Creates the problem of a backend server that failed before its answer began.
+     *
+     * @param ran whether the request may have run
+     * @param why the cause
+     * @return the problem
+     */
+    public static Problem shouldAnswer(RunState ran, String why) {
+        return Problem.of(
+                        ErrorCode.BACKEND_FAILED,
+                        ran,
+                        "expected an answer from the backend server, but " + why,
+                        adviceFor(ran))
+                .retryAfter(1);
+    }
+
+    /**
+     * Creates the problem of an answer that broke off after it began.
+     *
+     * @param why the cause
+     * @return the problem
+     */
+    public static Problem shouldAnswerWhole(String why) {
+        return Problem.of(
+                ErrorCode.ANSWER_INCOMPLETE,
+                RunState.RAN,
+                "expected the whole answer, but " + why,
+                "discard the part received; send again if the call is idempotent");
+    }
+
+    private static String adviceFor(RunState ran) {
+        return ran == RunState.NOT_RUN
+                ? "send again"
+                : "look up the outcome before you send again, unless the call is idempotent";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldFindCapacity.java
@@ -0,0 +1,23 @@
+package org.fescuehollow.error;
+
+/** Error of a request that no backend server could take in time. Stateless. */
+public final class ShouldFindCapacity {
+    private ShouldFindCapacity() {}
+
+    /**
+     * Creates the problem.
+     *
+     * @param service the service whose backend servers are full or gone
+     * @param why the reason, such as "queue is full"
+     * @param retryAfterSeconds when a place is expected
+     * @return the problem
+     */
+    public static Problem shouldFindCapacity(String service, String why, int retryAfterSeconds) {
+        return Problem.of(
+                        ErrorCode.NO_CAPACITY,
+                        RunState.NOT_RUN,
+                        "expected a place on service '" + service + "', but " + why,
+                        "send again after the time in Retry-After")
+                .retryAfter(retryAfterSeconds);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldFitLimit.java
@@ -0,0 +1,20 @@
+package org.fescuehollow.error;
+
+/** Error of a request that is larger than allowed. Stateless. */
+public final class ShouldFitLimit {
+    private ShouldFitLimit() {}
+
+    /**
+     * Creates the problem.
+     *
+     * @param limitBytes the largest body allowed, in bytes
+     * @return the problem
+     */
+    public static Problem shouldFitLimit(long limitBytes) {
+        return Problem.of(
+                ErrorCode.BODY_TOO_LARGE,
+                RunState.NOT_RUN,
+                "expected a body of at most " + limitBytes + " bytes, got more",
+                "send a smaller body");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldKeepKeyUnique.java
@@ -0,0 +1,62 @@
+package org.fescuehollow.error;
+
+/** Errors of idempotency keys. Stateless. */
+public final class ShouldKeepKeyUnique {
+    private ShouldKeepKeyUnique() {}
+
+    /**
+     * Creates the problem of a key that came before with another request.
+     *
+     * @return the problem
+     */
+    public static Problem shouldKeepRequest() {
+        return Problem.of(
+                ErrorCode.KEY_REUSED,
+                RunState.NOT_RUN,
+                "expected the same request for this Idempotency-Key, got another one",
+                "use a new key for a new request");
+    }
+
+    /**
+     * Creates the problem of a key whose request is still running.
+     *
+     * @return the problem
+     */
+    public static Problem shouldAwaitOutcome() {
+        return Problem.of(
+                        ErrorCode.KEY_IN_PROGRESS,
+                        RunState.OUTCOME_UNKNOWN,
+                        "expected the first request with this key to have ended, it still runs",
+                        "ask again with the same key for its outcome")
+                .retryAfter(1);
+    }
+
+    /**
+     * Creates the problem of a key whose outcome nobody can tell.
+     *
+     * @param why the reason
+     * @return the problem
+     */
+    public static Problem shouldKnowOutcome(String why) {
+        return Problem.of(
+                ErrorCode.KEY_OUTCOME_UNKNOWN,
+                RunState.OUTCOME_UNKNOWN,
+                "expected to know what became of this key, but " + why,
+                "look up the outcome at the service before you use a new key");
+    }
+
+    /**
+     * Creates the problem of a key that can't be proved new.
+     *
+     * @param ticket a fresh ticket
+     * @return the problem
+     */
+    public static Problem shouldUseTicket(String ticket) {
+        return Problem.of(
+                        ErrorCode.TICKET_REQUIRED,
+                        RunState.NOT_RUN,
+                        "expected a ticket as Idempotency-Key for a call that must not repeat",
+                        "send the call once more with the ticket offered here as its key")
+                .withTicket(ticket);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldLoadAdapter.java
@@ -0,0 +1,24 @@
+package org.fescuehollow.error;
+
+import org.fescuehollow.model.AdapterRef;
+
+/** Error of a request whose adapter could not be loaded. Stateless. */
+public final class ShouldLoadAdapter {
+    private ShouldLoadAdapter() {}
+
+    /**
+     * Creates the problem.
+     *
+     * @param adapter the adapter and version
+     * @param failures how many loads failed in a row
+     * @return the problem
+     */
+    public static Problem shouldLoadAdapter(AdapterRef adapter, int failures) {
+        return Problem.of(
+                        ErrorCode.LOAD_FAILED,
+                        RunState.NOT_RUN,
+                        "expected adapter " + adapter + " to load, failed " + failures + " times",
+                        "send again; if it lasts, check the adapter's files in the weight store")
+                .retryAfter(2);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/error/ShouldNameAllowedTarget.java
@@ -0,0 +1,20 @@
+package org.fescuehollow.error;
+
+/** Error of a call to an adapter or service that the team may not call. Stateless. */
+public final class ShouldNameAllowedTarget {
+    private ShouldNameAllowedTarget() {}
+
+    /**
+     * Creates the problem, the same whether the target is unknown or another team's.
+     *
+     * @param name the target as the caller wrote it
+     * @return the problem
+     */
+    public static Problem shouldNameAllowedTarget(String name) {
+        return Problem.of(
+                ErrorCode.UNKNOWN_TARGET,
+                RunState.NOT_RUN,
+                "expected an adapter and version or a service of your team, got '" + name + "'",
+                "list what you may call at /v1/models, or ask your operator to publish it");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/kernel/Kernel.java
@@ -0,0 +1,118 @@
+package org.fescuehollow.kernel;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Starts services in order, finds them by name, and stops them in reverse order.
+ *
+ * <pre>{@code
+ * Kernel kernel = Kernel.of(settings, front);
+ * kernel.start();
+ * kernel.find("settings", SettingsService.class);
+ * }</pre>
+ *
+ * <p>Invariant: a service is found only between its start and its stop. Start and stop are called
+ * from one thread; finding is safe for any thread.
+ */
+public final class Kernel {
+    private static final Logger LOG = System.getLogger(Kernel.class.getName());
+
+    private final List<Service> mServices;
+    private final Map<String, Service> mRunning = new ConcurrentHashMap<>();
+    private final Deque<Service> mStarted = new ArrayDeque<>();
+
+    private Kernel(List<Service> services) {
+        mServices = List.copyOf(services);
+    }
+
+    /**
+     * Creates a kernel.
+     *
+     * @param services the services in their order of start
+     * @return the kernel, not yet started
+     */
+    public static Kernel of(Service... services) {
+        return new Kernel(List.of(services));
+    }
+
+    /**
+     * Creates a kernel.
+     *
+     * @param services the services in their order of start
+     * @return the kernel, not yet started
+     */
+    public static Kernel of(List<Service> services) {
+        return new Kernel(services);
+    }
+
+    /** Starts all services; if one fails, stops those started before and throws its error. */
+    public void start() {
+        for (Service s : mServices) {
+            try {
+                startOne(s);
+            } catch (RuntimeException e) {
+                stop();
+                throw e;
+            }
+        }
+    }
+
+    private void startOne(Service s) {
+        if (mRunning.containsKey(s.name())) {
+            throw new IllegalStateException("expected unique service names, got twice " + s.name());
+        }
+        s.start(this);
+        mRunning.put(s.name(), s);
+        mStarted.push(s);
+    }
+
+    /** Stops all started services in reverse order; one that fails doesn't keep the others. */
+    public void stop() {
+        while (!mStarted.isEmpty()) {
+            Service s = mStarted.pop();
+            mRunning.remove(s.name());
+            try {
+                s.stop();
+            } catch (RuntimeException e) {
+                LOG.log(Level.WARNING, "service " + s.name() + " failed to stop", e);
+            }
+        }
+    }
+
+    /**
+     * Finds a running service.
+     *
+     * @param <T> the service's type
+     * @param name its name
+     * @param type its class
+     * @return the service
+     * @throws IllegalStateException if none runs under the name, or with another type
+     */
+    public <T> T find(String name, Class<T> type) {
+        Service s = mRunning.get(name);
+        if (!type.isInstance(s)) {
+            throw new IllegalStateException(
+                    "expected service " + name + " as " + type.getSimpleName() + ", got " + s);
+        }
+        return type.cast(s);
+    }
+
+    /**
+     * Returns each running service's dump under its name.
+     *
+     * @return sections sorted by name
+     */
+    public SortedMap<String, Object> dump() {
+        SortedMap<String, Object> sections = new TreeMap<>();
+        mRunning.values().forEach(s -> sections.put(s.name(), s.dump()));
+        return sections;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/placement/AdapterUse.java
@@ -0,0 +1,38 @@
+package org.fescuehollow.placement;
+
+import java.time.Duration;
+
+/**
+ * How often and how lately an adapter was used.
+ *
+ * <p>Invariant: the aged count halves with every half-life without use. Immutable and safe for use
+ * by any thread.
+ *
+ * @param count the aged count at the last use
+ * @param lastUsedNanos the last use, by the monotonic clock
+ */
+public record AdapterUse(double count, long lastUsedNanos) {
+    /** Time in which a use loses half its weight. */
+    public static final Duration HALF_LIFE = Duration.ofMinutes(10);
+
+    /**
+     * Returns the state after one more use.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the new state
+     */
+    public AdapterUse used(long now) {
+        return new AdapterUse(agedCount(now) + 1, now);
+    }
+
+    /**
+     * Returns the count as it has aged until now.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the count, at least zero
+     */
+    public double agedCount(long now) {
+        double halfLives = (double) (now - lastUsedNanos) / HALF_LIFE.toNanos();
+        return count * Math.exp(-halfLives * Math.log(2));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/placement/EngineReport.java
@@ -0,0 +1,23 @@
+package org.fescuehollow.placement;
+
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.fescuehollow.model.AdapterRef;
+
+/**
+ * What a backend server says of itself, late.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param incarnation differs after each restart of the server
+ * @param running how many requests use each resident adapter; zero for idle ones
+ * @param highestFencing the highest fencing number the server has seen; zero if it ignores them
+ */
+public record EngineReport(
+        String incarnation, SortedMap<AdapterRef, Integer> running, long highestFencing) {
+    /** Creates the report from a copy. */
+    public EngineReport {
+        running = Collections.unmodifiableSortedMap(new TreeMap<>(running));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/placement/LoadFailures.java
@@ -0,0 +1,50 @@
+package org.fescuehollow.placement;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.routing.Rendezvous;
+
+/**
+ * Remembers failed loads and spaces their repetition, longer after each failure.
+ *
+ * <p>Invariant: a delay is at least half and at most the whole of its exponential step, so that
+ * nodes which failed together don't try again together. Not safe for concurrent use.
+ */
+final class LoadFailures {
+    private static final long FIRST_DELAY_NANOS = Duration.ofMillis(250).toNanos();
+    private static final int MAX_DOUBLINGS = 6;
+
+    private final Map<AdapterRef, Failure> mFailures = new HashMap<>();
+    private final long mJitterSeed;
+
+    LoadFailures(long jitterSeed) {
+        mJitterSeed = jitterSeed;
+    }
+
+    /** Failures in a row, and when the next load may be tried. */
+    private record Failure(int count, long retryNanos) {}
+
+    void failed(AdapterRef adapter, long now) {
+        int count = countOf(adapter) + 1;
+        long step = FIRST_DELAY_NANOS << Math.min(MAX_DOUBLINGS, count - 1);
+        long jitter = Rendezvous.weight(mJitterSeed + count, Rendezvous.hash(adapter.toString()));
+        long delay = step / 2 + Long.remainderUnsigned(jitter, step / 2 + 1);
+        mFailures.put(adapter, new Failure(count, now + delay));
+    }
+
+    void succeeded(AdapterRef adapter) {
+        mFailures.remove(adapter);
+    }
+
+    boolean mayTry(AdapterRef adapter, long now) {
+        Failure f = mFailures.get(adapter);
+        return f == null || now >= f.retryNanos();
+    }
+
+    int countOf(AdapterRef adapter) {
+        Failure f = mFailures.get(adapter);
+        return f == null ? 0 : f.count();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/placement/SlotTable.java
@@ -0,0 +1,109 @@
+package org.fescuehollow.placement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.fescuehollow.model.AdapterRef;
+
+/**
+ * The adapter slots of one engine.
+ *
+ * <p>Invariants: never more slots in use than the engine has, unless the engine itself reports
+ * more; an adapter that a request uses is never chosen for eviction. Not safe for concurrent use.
+ */
+final class SlotTable {
+    private final SortedMap<AdapterRef, Slot> mSlots = new TreeMap<>();
+    private final AdapterUses mUses = new AdapterUses();
+    private final Eviction mEviction;
+
+    SlotTable(Eviction eviction) {
+        mEviction = eviction;
+    }
+
+    boolean isResident(AdapterRef adapter) {
+        Slot s = mSlots.get(adapter);
+        return s != null && s.state() == Slot.State.RESIDENT;
+    }
+
+    boolean holds(AdapterRef adapter) {
+        return mSlots.containsKey(adapter);
+    }
+
+    int size() {
+        return mSlots.size();
+    }
+
+    void add(AdapterRef adapter, Slot.State state, long now) {
+        mSlots.put(adapter, new Slot(state, now));
+    }
+
+    void remove(AdapterRef adapter) {
+        mSlots.remove(adapter);
+    }
+
+    Optional<Slot> find(AdapterRef adapter) {
+        return Optional.ofNullable(mSlots.get(adapter));
+    }
+
+    void pin(AdapterRef adapter, String attempt, long now) {
+        mSlots.get(adapter).pin(attempt);
+        mUses.used(adapter, now);
+    }
+
+    void unpin(AdapterRef adapter, String attempt) {
+        find(adapter).ifPresent(s -> s.unpin(attempt));
+    }
+
+    void clear() {
+        mSlots.clear();
+    }
+
+    Optional<AdapterRef> pickVictim(Predicate<AdapterRef> isWanted, long now) {
+        Map<AdapterRef, AdapterUse> evictable = new TreeMap<>();
+        mSlots.forEach(
+                (adapter, slot) -> {
+                    boolean idle = slot.state() == Slot.State.RESIDENT && !slot.isPinned();
+                    if (idle && !isWanted.test(adapter)) {
+                        evictable.put(adapter, mUses.of(adapter));
+                    }
+                });
+        return mEviction.pick(evictable, now);
+    }
+
+    boolean canMakeRoom(int limit) {
+        return size() < limit
+                || mSlots.values().stream()
+                        .anyMatch(s -> s.state() == Slot.State.RESIDENT && !s.isPinned());
+    }
+
+    /** Takes over what the engine reports; slots changed since the bound are left as they are. */
+    void reconcile(EngineReport report, long settledSince, long now) {
+        report.running().forEach((adapter, running) -> adopt(adapter, running, now));
+        List<AdapterRef> gone =
+                mSlots.entrySet().stream()
+                        .filter(e -> !report.running().containsKey(e.getKey()))
+                        .filter(e -> e.getValue().isSettledSince(settledSince))
+                        .filter(e -> e.getValue().pins() == 0)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        gone.forEach(mSlots::remove);
+    }
+
+    private void adopt(AdapterRef adapter, int running, long now) {
+        Slot slot = mSlots.computeIfAbsent(adapter, a -> new Slot(Slot.State.RESIDENT, now));
+        slot.setForeign(running - slot.pins());
+    }
+
+    SortedMap<String, String> dump() {
+        SortedMap<String, String> out = new TreeMap<>();
+        mSlots.forEach(
+                (a, s) ->
+                        out.put(
+                                a.toString(),
+                                s.state() + " pins=" + s.pins() + " foreign=" + s.foreign()));
+        return out;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/routing/FleetView.java
@@ -0,0 +1,118 @@
+package org.fescuehollow.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.model.Vm;
+import org.fescuehollow.model.VmList;
+import org.fescuehollow.model.VmRole;
+
+/**
+ * The backend servers that new work may go to, and the entry node that coordinates each of them.
+ *
+ * <pre>{@code
+ * FleetView fleet = FleetView.of(vmList, liveNodes, reachableDomains);
+ * List<Vm> engines = fleet.candidates("assistants-redaction", adapter);
+ * }</pre>
+ *
+ * <p>Invariants: a leaving VM is never a candidate; a backend server is coordinated by an entry
+ * node of its own failure domain, if one is alive. Not safe for concurrent use: rankings are
+ * computed on first use.
+ */
+public final class FleetView {
+    private final VmList mVms;
+    private final Map<String, List<Vm>> mNodesByDomain;
+    private final Map<String, CandidateTable> mTables = new HashMap<>();
+    private final Map<String, Optional<Vm>> mCoordinators = new HashMap<>();
+
+    private FleetView(VmList vms, Map<String, List<Vm>> nodesByDomain) {
+        mVms = vms;
+        mNodesByDomain = nodesByDomain;
+    }
+
+    /**
+     * Creates the view.
+     *
+     * @param vms the platform's list
+     * @param liveNodes ids of the entry nodes that are alive as far as this node knows
+     * @return the view; backend servers in domains without a live node are left out
+     */
+    public static FleetView of(VmList vms, Set<String> liveNodes) {
+        Map<String, List<Vm>> nodes =
+                vms.withRole(VmRole.ENTRY).stream()
+                        .filter(vm -> liveNodes.contains(vm.id()))
+                        .collect(Collectors.groupingBy(Vm::domain));
+        return new FleetView(vms, nodes);
+    }
+
+    /**
+     * Returns the engines that may serve an adapter, the first choice first.
+     *
+     * @param service the model service
+     * @param adapter the adapter
+     * @return engines that are live and have a coordinator
+     */
+    public List<Vm> candidates(String service, AdapterRef adapter) {
+        return mTables.computeIfAbsent(service, this::tableOf).candidates(adapter);
+    }
+
+    /**
+     * Returns the backend servers of a service that take new work.
+     *
+     * @param service the service
+     * @return live servers with a coordinator, sorted by id
+     */
+    public List<Vm> servers(String service) {
+        return mTables.computeIfAbsent(service, this::tableOf).engines();
+    }
+
+    private CandidateTable tableOf(String service) {
+        return new CandidateTable(
+                mVms.ofService(service).stream()
+                        .filter(Vm::isLive)
+                        .filter(vm -> mNodesByDomain.containsKey(vm.domain()))
+                        .toList());
+    }
+
+    /**
+     * Returns the entry node through which all work on a backend server passes.
+     *
+     * @param server the backend server
+     * @return the node, or empty if none is alive in the server's failure domain
+     */
+    public Optional<Vm> coordinator(Vm server) {
+        return mCoordinators.computeIfAbsent(
+                server.id(),
+                id ->
+                        Rendezvous.pick(
+                                id,
+                                mNodesByDomain.getOrDefault(server.domain(), List.of()),
+                                Vm::id));
+    }
+
+    /**
+     * Returns the backend servers that a node coordinates, leaving ones included.
+     *
+     * @param node the node's id
+     * @return servers in the list's order
+     */
+    public List<Vm> coordinatedBy(String node) {
+        return mVms.vms().stream()
+                .filter(vm -> vm.role() != VmRole.ENTRY)
+                .filter(vm -> coordinator(vm).filter(n -> n.id().equals(node)).isPresent())
+                .toList();
+    }
+
+    /**
+     * Returns the platform's list behind this view.
+     *
+     * @return the list
+     */
+    public VmList vms() {
+        return mVms;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/settings/SchemaCheck.java
@@ -0,0 +1,73 @@
+package org.fescuehollow.settings;
+
+import static org.fescuehollow.error.ShouldBeValidSettings.shouldBeValidSettings;
+
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.Comparator;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fescuehollow.error.FescuehollowException;
+
+/**
+ * Checks documents against JSON schemas that ship as resources.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public final class SchemaCheck {
+    private static final ConcurrentHashMap<String, SchemaCheck> CACHE = new ConcurrentHashMap<>();
+
+    private final JsonSchema mSchema;
+
+    private SchemaCheck(JsonSchema schema) {
+        mSchema = schema;
+    }
+
+    /**
+     * Returns the check for a schema.
+     *
+     * @param name the resource's name without directory and ending
+     * @return the check
+     * @throws IllegalStateException if there is no such resource
+     */
+    public static SchemaCheck of(String name) {
+        return CACHE.computeIfAbsent(name, SchemaCheck::load);
+    }
+
+    private static SchemaCheck load(String name) {
+        String resource = "/schemas/" + name + ".json";
+        try (InputStream in = SchemaCheck.class.getResourceAsStream(resource)) {
+            if (in == null) {
+                throw new IllegalStateException("expected resource " + resource + ", got nothing");
+            }
+            return new SchemaCheck(
+                    JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Checks a document.
+     *
+     * @param place the file or path, for errors
+     * @param doc the document
+     * @throws FescuehollowException with the first member that doesn't fit and its line
+     */
+    public void check(String place, YamlDocument doc) {
+        mSchema.validate(doc.tree()).stream()
+                .min(Comparator.comparing(ValidationMessage::getMessage))
+                .ifPresent(m -> fail(place, doc, m));
+    }
+
+    private static void fail(String place, YamlDocument doc, ValidationMessage m) {
+        String pointer = m.getInstanceLocation().toString().replace("$", "");
+        String path = pointer.replaceAll("\\.([^.\\[]+)", "/$1").replaceAll("\\[(\\d+)]", "/$1");
+        throw new FescuehollowException(
+                shouldBeValidSettings(place, doc.line(path), m.getMessage()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/settings/ServicePolicy.java
@@ -0,0 +1,38 @@
+package org.fescuehollow.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What operators publish of a service.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param name the service's name
+ * @param model true for model engines, false for a plain service
+ * @param slots how many adapters an engine holds
+ * @param batch how many requests an engine or a plain server runs at once
+ * @param queue how many requests may wait for one engine
+ * @param weighting how stalls and batches are weighed
+ * @param fencing what the engines do with fencing numbers
+ */
+public record ServicePolicy(
+        String name,
+        boolean model,
+        int slots,
+        int batch,
+        int queue,
+        Weighting weighting,
+        FencingSupport fencing) {
+    static ServicePolicy from(String name, JsonNode tree) {
+        return new ServicePolicy(
+                name,
+                tree.path("kind").asText().equals("model"),
+                tree.path("slots").asInt(8),
+                tree.path("batch").asInt(16),
+                tree.path("queue").asInt(256),
+                Weighting.parse(tree.path("weighting").asText("stalls-first")),
+                tree.path("fencing").asText("ignored").equals("checked")
+                        ? FencingSupport.CHECKED
+                        : FencingSupport.IGNORED);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsPath.java
@@ -0,0 +1,59 @@
+package org.fescuehollow.settings;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * The kinds of paths under which operators publish, each with its own schema.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public enum SettingsPath {
+    /** Keys of a team, and the adapters, versions and services it may call. */
+    TEAM_ACCESS("teams/[a-z0-9][a-z0-9-]*/access", "team-access"),
+    /** Priority, weight and never-repeat rules of a team. */
+    TEAM_TRAFFIC("teams/[a-z0-9][a-z0-9-]*/traffic", "team-traffic"),
+    /** What a service is and how its engines are used. */
+    SERVICE("services/[a-z0-9][a-z0-9-]*", "service"),
+    /** The weight store's limits. */
+    STORE("store", "store");
+
+    private final Pattern mPattern;
+    private final String mSchema;
+
+    SettingsPath(String pattern, String schema) {
+        mPattern = Pattern.compile(pattern);
+        mSchema = schema;
+    }
+
+    /**
+     * Finds the kind of a path.
+     *
+     * @param path a path without a leading slash
+     * @return the kind, or empty if no kind has this form
+     */
+    public static Optional<SettingsPath> of(String path) {
+        return Arrays.stream(values()).filter(p -> p.mPattern.matcher(path).matches()).findFirst();
+    }
+
+    /**
+     * Returns the name of the schema resource.
+     *
+     * @return a resource name without directory and ending
+     */
+    public String schema() {
+        return mSchema;
+    }
+
+    /**
+     * Returns the part that differs between paths of the same kind: the team's or service's name.
+     *
+     * @param path a path of this kind
+     * @return the second part, or the path itself if it has one part only
+     */
+    public String subject(String path) {
+        String[] parts = path.split("/");
+        return parts.length > 1 ? parts[1] : path;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsView.java
@@ -0,0 +1,157 @@
+package org.fescuehollow.settings;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * The settings in force at one moment, ready for look-ups.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public final class SettingsView {
+    /** The view of a node that knows nothing yet. */
+    public static final SettingsView EMPTY =
+            new SettingsView(Map.of(), Map.of(), Map.of(), StorePolicy.CAUTIOUS, Map.of());
+
+    private final Map<String, TeamAccess> mAccess;
+    private final Map<String, TeamTraffic> mTraffic;
+    private final Map<String, ServicePolicy> mServices;
+    private final StorePolicy mStore;
+    private final Map<String, String> mTeamByKeyHash;
+
+    private SettingsView(
+            Map<String, TeamAccess> access,
+            Map<String, TeamTraffic> traffic,
+            Map<String, ServicePolicy> services,
+            StorePolicy store,
+            Map<String, String> teamByKeyHash) {
+        mAccess = access;
+        mTraffic = traffic;
+        mServices = services;
+        mStore = store;
+        mTeamByKeyHash = teamByKeyHash;
+    }
+
+    SettingsView with(SettingsEntry entry) {
+        SettingsPath kind = SettingsPath.of(entry.path()).orElseThrow();
+        String subject = kind.subject(entry.path());
+        Optional<Object> value = entry.text().map(t -> SettingsParser.parse(entry.path(), t));
+        return switch (kind) {
+            case TEAM_ACCESS -> withAccess(subject, value.map(TeamAccess.class::cast));
+            case TEAM_TRAFFIC ->
+                    new SettingsView(
+                            mAccess,
+                            replaced(mTraffic, subject, value.map(TeamTraffic.class::cast)),
+                            mServices,
+                            mStore,
+                            mTeamByKeyHash);
+            case SERVICE ->
+                    new SettingsView(
+                            mAccess,
+                            mTraffic,
+                            replaced(mServices, subject, value.map(ServicePolicy.class::cast)),
+                            mStore,
+                            mTeamByKeyHash);
+            case STORE ->
+                    new SettingsView(
+                            mAccess,
+                            mTraffic,
+                            mServices,
+                            value.map(StorePolicy.class::cast).orElse(StorePolicy.CAUTIOUS),
+                            mTeamByKeyHash);
+        };
+    }
+
+    private SettingsView withAccess(String team, Optional<TeamAccess> access) {
+        Map<String, TeamAccess> all = replaced(mAccess, team, access);
+        Map<String, String> keys = new HashMap<>(mTeamByKeyHash);
+        keys.values().removeIf(team::equals);
+        access.ifPresent(a -> a.keyHashes().forEach(h -> keys.put(h, team)));
+        return new SettingsView(all, mTraffic, mServices, mStore, keys);
+    }
+
+    private static <T> Map<String, T> replaced(Map<String, T> old, String key, Optional<T> value) {
+        Map<String, T> copy = new HashMap<>(old);
+        value.ifPresentOrElse(v -> copy.put(key, v), () -> copy.remove(key));
+        return copy;
+    }
+
+    /**
+     * Finds the team of a key.
+     *
+     * @param keyHash SHA-256 of the key, as lower-case hex
+     * @return the team's access, if a team has published the hash
+     */
+    public Optional<TeamAccess> teamOfKey(String keyHash) {
+        return Optional.ofNullable(mTeamByKeyHash.get(keyHash))
+                .map(mAccess::get)
+                .filter(a -> a.keyHashes().stream().anyMatch(h -> sameText(h, keyHash)));
+    }
+
+    private static boolean sameText(String a, String b) {
+        return MessageDigest.isEqual(
+                a.getBytes(StandardCharsets.US_ASCII), b.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /**
+     * Returns what a team may call.
+     *
+     * @param team the team
+     * @return its access, if published
+     */
+    public Optional<TeamAccess> access(String team) {
+        return Optional.ofNullable(mAccess.get(team));
+    }
+
+    /**
+     * Returns a team's priority, weight and rules.
+     *
+     * @param team the team
+     * @return what is published, or the default
+     */
+    public TeamTraffic traffic(String team) {
+        return mTraffic.getOrDefault(team, TeamTraffic.DEFAULT);
+    }
+
+    /**
+     * Returns a service's policy.
+     *
+     * @param service the service
+     * @return the policy, if published
+     */
+    public Optional<ServicePolicy> service(String service) {
+        return Optional.ofNullable(mServices.get(service));
+    }
+
+    /**
+     * Returns the weight store's limits.
+     *
+     * @return the policy
+     */
+    public StorePolicy store() {
+        return mStore;
+    }
+
+    /**
+     * Returns the names of all services.
+     *
+     * @return sorted names
+     */
+    public SortedSet<String> services() {
+        return new TreeSet<>(mServices.keySet());
+    }
+
+    /**
+     * Returns the names of all teams that may call something.
+     *
+     * @return sorted names
+     */
+    public SortedSet<String> teams() {
+        return new TreeSet<>(mAccess.keySet());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/settings/YamlDocument.java
@@ -0,0 +1,91 @@
+package org.fescuehollow.settings;
+
+import static org.fescuehollow.error.ShouldBeValidSettings.shouldBeValidSettings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.fescuehollow.error.FescuehollowException;
+
+/**
+ * A YAML text read into a tree, able to tell the line of each of its members.
+ *
+ * <p>Immutable; the tree must not be changed. Safe for use by any thread.
+ */
+public final class YamlDocument {
+    private static final YAMLMapper MAPPER = new YAMLMapper();
+
+    private final JsonNode mTree;
+    private final Map<String, Integer> mLines;
+
+    private YamlDocument(JsonNode tree, Map<String, Integer> lines) {
+        mTree = tree;
+        mLines = lines;
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param place the file or path, for errors
+     * @param text the YAML text
+     * @return the document
+     * @throws FescuehollowException if the text isn't YAML
+     */
+    public static YamlDocument read(String place, String text) {
+        try {
+            JsonNode tree = MAPPER.readTree(text);
+            if (tree == null || tree.isMissingNode()) {
+                throw new FescuehollowException(
+                        shouldBeValidSettings(place, 1, "expected a YAML mapping, got nothing"));
+            }
+            return new YamlDocument(tree, linesOf(text));
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+            throw new FescuehollowException(
+                    shouldBeValidSettings(
+                            place, line, "expected YAML, got " + e.getOriginalMessage()));
+        } catch (IOException | StackOverflowError e) {
+            throw new FescuehollowException(
+                    shouldBeValidSettings(place, 0, "expected YAML, got " + e));
+        }
+    }
+
+    private static Map<String, Integer> linesOf(String text) throws IOException {
+        Map<String, Integer> lines = new HashMap<>();
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            for (JsonToken t = parser.nextToken(); t != null; t = parser.nextToken()) {
+                String pointer = parser.getParsingContext().pathAsPointer().toString();
+                lines.putIfAbsent(pointer, parser.currentTokenLocation().getLineNr());
+            }
+        }
+        return Map.copyOf(lines);
+    }
+
+    /**
+     * Returns the tree.
+     *
+     * @return the root, never changed
+     */
+    public JsonNode tree() {
+        return mTree;
+    }
+
+    /**
+     * Returns the line of a member.
+     *
+     * @param pointer a JSON pointer such as {@code /keys/0}
+     * @return the line counted from one; that of the nearest parent if the member isn't there
+     */
+    public int line(String pointer) {
+        String p = pointer;
+        while (!p.isEmpty() && !mLines.containsKey(p)) {
+            p = p.substring(0, Math.max(0, p.lastIndexOf('/')));
+        }
+        return mLines.getOrDefault(p, 1);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fescuehollow/routing/AttemptPlanTest.java
@@ -0,0 +1,82 @@
+package org.fescuehollow.routing;
+
+import static org.assertj.core.api.BDDAssertions.then;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.fescuehollow.admission.RetryBudget;
+import org.fescuehollow.error.ErrorCode;
+import org.fescuehollow.error.Problem;
+import org.fescuehollow.error.RunState;
+import org.fescuehollow.model.Vm;
+import org.fescuehollow.testsupport.Fleet;
+import org.junit.jupiter.api.Test;
+
+class AttemptPlanTest {
+    private static final List<Vm> SERVERS = Fleet.engines(3, "rennes");
+    private static final Problem UNKNOWN =
+            Problem.of(ErrorCode.BACKEND_FAILED, RunState.OUTCOME_UNKNOWN, "broke", "look it up");
+
+    @Test
+    void failed_neverRepeatsACallThatMayHaveRun() {
+        // GIVEN
+        AttemptPlan plan = plan(false);
+        plan.begin();
+        // WHEN
+        AttemptPlan.Step step = plan.failed(UNKNOWN, false);
+        // THEN
+        then(step).isEqualTo(new AttemptPlan.Step.GiveUp(UNKNOWN));
+    }
+
+    @Test
+    void failed_repeatsACallThatDidNotRun() {
+        // GIVEN
+        AttemptPlan plan = plan(false);
+        plan.begin();
+        // WHEN
+        AttemptPlan.Step step = plan.failed(UNKNOWN.withRan(RunState.NOT_RUN), false);
+        // THEN
+        then(step).isEqualTo(new AttemptPlan.Step.Submit(SERVERS.get(1), true));
+    }
+
+    @Test
+    void failed_neverBeginsAnewAfterBytesWentToTheCaller() {
+        // GIVEN
+        AttemptPlan plan = plan(true);
+        plan.begin();
+        // WHEN / THEN
+        then(plan.failed(UNKNOWN, true)).isInstanceOf(AttemptPlan.Step.GiveUp.class);
+    }
+
+    @Test
+    void redirected_insistsOnTheFirstServerOnceAllDeclined() {
+        // GIVEN
+        AttemptPlan plan = plan(true);
+        plan.begin();
+        plan.redirected();
+        plan.redirected();
+        // WHEN / THEN
+        then(plan.redirected()).isEqualTo(new AttemptPlan.Step.Submit(SERVERS.get(0), false));
+        then(plan.redirected()).isInstanceOf(AttemptPlan.Step.GiveUp.class);
+    }
+
+    @Test
+    void failed_keepsRetriesWithinTheBudget() {
+        // GIVEN
+        RetryBudget budget = new RetryBudget(0.1, 2);
+        // WHEN
+        long retried =
+                IntStream.range(0, 100)
+                        .mapToObj(i -> new AttemptPlan("svc", SERVERS, true, budget))
+                        .peek(AttemptPlan::begin)
+                        .map(p -> p.failed(UNKNOWN, false))
+                        .filter(AttemptPlan.Step.Submit.class::isInstance)
+                        .count();
+        // THEN
+        then(retried).isLessThanOrEqualTo(12);
+    }
+
+    private static AttemptPlan plan(boolean repeatable) {
+        return new AttemptPlan("svc", SERVERS, repeatable, new RetryBudget(0.1, 10));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
@@ -0,0 +1,154 @@
+package org.fescuehollow.server.admin;
+
+import static org.fescuehollow.error.ShouldCarryKnownKey.shouldCarryKnownKey;
+import static org.fescuehollow.error.ShouldNameAllowedTarget.shouldNameAllowedTarget;
+
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Locale;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.fescuehollow.kernel.Kernel;
+import org.fescuehollow.kernel.Service;
+import org.fescuehollow.server.config.NodeConfig;
+import org.fescuehollow.server.front.FrontService;
+import org.fescuehollow.server.front.ProblemWriter;
+import org.fescuehollow.server.loop.NodeLoop;
+import org.fescuehollow.server.metrics.Metrics;
+import org.fescuehollow.server.platform.Json;
+import org.fescuehollow.server.settings.SettingsService;
+import org.fescuehollow.settings.KeyHash;
+
+/**
+ * The operators' HTTP port: health, metrics and the state dump.
+ *
+ * <p>Invariant: nothing here changes any state. Used on the node's loop.
+ */
+public final class AdminService implements Service {
+    /** The name under which other services find this one. */
+    public static final String NAME = "admin";
+
+    private static final Logger LOG = System.getLogger(AdminService.class.getName());
+
+    private final NodeConfig mConfig;
+    private final NodeLoop mLoop;
+    private final Metrics mMetrics;
+    private Kernel mKernel;
+    private HttpServer mServer;
+
+    /**
+     * Creates the service.
+     *
+     * @param config the process's settings
+     * @param loop the node's loop
+     * @param metrics the process's metrics
+     */
+    public AdminService(NodeConfig config, NodeLoop loop, Metrics metrics) {
+        mConfig = config;
+        mLoop = loop;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        mKernel = kernel;
+        HttpServerOptions options =
+                new HttpServerOptions()
+                        .setHost(mConfig.admin().host())
+                        .setPort(mConfig.admin().port());
+        mServer =
+                mLoop.await(
+                        () ->
+                                mLoop.vertx()
+                                        .createHttpServer(options)
+                                        .requestHandler(this::handle)
+                                        .listen());
+        LOG.log(Level.INFO, "operators' port open at " + port());
+    }
+
+    /**
+     * Returns the port that operators use.
+     *
+     * @return the port bound
+     */
+    public int port() {
+        return mServer.actualPort();
+    }
+
+    private void handle(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/healthz" -> text(request, 200, "alive");
+            case "/readyz" -> ready(request);
+            default -> guarded(request);
+        }
+    }
+
+    private void guarded(HttpServerRequest request) {
+        if (!isOperator(request)) {
+            ProblemWriter.answer(request.response(), shouldCarryKnownKey(), "");
+            return;
+        }
+        switch (request.path()) {
+            case "/metrics" -> text(request, 200, mMetrics.text());
+            case "/dump" ->
+                    request.response()
+                            .putHeader("Content-Type", "application/json")
+                            .end(Json.write(dumpAll()));
+            default ->
+                    ProblemWriter.answer(
+                            request.response(), shouldNameAllowedTarget(request.path()), "");
+        }
+    }
+
+    private boolean isOperator(HttpServerRequest request) {
+        String header = request.getHeader("Authorization");
+        return mConfig.operatorKeyHash()
+                .map(
+                        hash ->
+                                header != null
+                                        && header.startsWith("Bearer ")
+                                        && MessageDigest.isEqual(
+                                                KeyHash.of(header.substring(7))
+                                                        .getBytes(StandardCharsets.US_ASCII),
+                                                hash.toLowerCase(Locale.ROOT)
+                                                        .getBytes(StandardCharsets.US_ASCII)))
+                .orElse(true);
+    }
+
+    private void ready(HttpServerRequest request) {
+        SettingsService settings = mKernel.find(SettingsService.NAME, SettingsService.class);
+        boolean ready =
+                mKernel.find(FrontService.NAME, FrontService.class).isOpen()
+                        && !settings.view().services().isEmpty();
+        text(request, ready ? 200 : 503, ready ? "ready" : "not ready");
+    }
+
+    private static void text(HttpServerRequest request, int status, String body) {
+        request.response()
+                .setStatusCode(status)
+                .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+                .end(body);
+    }
+
+    private SortedMap<String, Object> dumpAll() {
+        SortedMap<String, Object> out = new TreeMap<>(mKernel.dump());
+        out.put("node", mConfig.nodeId());
+        out.put("failure_domain", mConfig.domain());
+        return out;
+    }
+
+    @Override
+    public void stop() {
+        mLoop.await(() -> mServer.close());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
@@ -0,0 +1,114 @@
+package org.fescuehollow.server.coordination;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.function.Consumer;
+import org.fescuehollow.error.Problem;
+import org.fescuehollow.server.call.AnswerHead;
+import org.fescuehollow.server.call.AnswerSink;
+import org.fescuehollow.server.call.Call;
+import org.fescuehollow.server.call.CallHandle;
+
+/**
+ * One attempt as its coordinator's surroundings see it: waiting, then running, then over.
+ *
+ * <p>Invariant: ends once; its end releases the pin exactly once. Used on the node's loop.
+ */
+final class Attempt implements AnswerSink {
+    private final Call mCall;
+    private final AnswerSink mSink;
+    private final Runnable mOnEnd;
+    private CallHandle mExchange = () -> {};
+    private boolean mOver;
+
+    /**
+     * Creates an attempt.
+     *
+     * @param call the call
+     * @param sink receives the answer
+     * @param onEnd run once when a started attempt is over
+     */
+    Attempt(Call call, AnswerSink sink, Runnable onEnd) {
+        mCall = call;
+        mSink = sink;
+        mOnEnd = onEnd;
+    }
+
+    Call call() {
+        return mCall;
+    }
+
+    void runs(CallHandle exchange) {
+        mExchange = exchange;
+        if (mOver) {
+            exchange.cancel();
+        }
+    }
+
+    /** Ends an attempt that never started, without telling its coordinator. */
+    void refused(Consumer<AnswerSink> last) {
+        if (!mOver) {
+            mOver = true;
+            last.accept(mSink);
+        }
+    }
+
+    void cancelRunning() {
+        if (over()) {
+            mExchange.cancel();
+        }
+    }
+
+    private boolean over() {
+        if (mOver) {
+            return false;
+        }
+        mOver = true;
+        mOnEnd.run();
+        return true;
+    }
+
+    @Override
+    public void head(AnswerHead head) {
+        if (!mOver) {
+            mSink.head(head);
+        }
+    }
+
+    @Override
+    public void chunk(Buffer data) {
+        if (!mOver) {
+            mSink.chunk(data);
+        }
+    }
+
+    @Override
+    public void end() {
+        if (over()) {
+            mSink.end();
+        }
+    }
+
+    @Override
+    public void failed(Problem problem) {
+        if (over()) {
+            mSink.failed(problem);
+        }
+    }
+
+    @Override
+    public void redirected() {
+        if (over()) {
+            mSink.redirected();
+        }
+    }
+
+    @Override
+    public boolean isFull() {
+        return mSink.isFull();
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+        mSink.onDrain(action);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -0,0 +1,143 @@
+package org.fescuehollow.server.routing;
+
+import io.vertx.core.buffer.Buffer;
+import org.fescuehollow.error.Problem;
+import org.fescuehollow.routing.AttemptPlan;
+import org.fescuehollow.server.call.AnswerHead;
+import org.fescuehollow.server.call.AnswerSink;
+import org.fescuehollow.server.call.Call;
+import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.CoordinatorPort;
+import org.fescuehollow.server.metrics.Metrics;
+
+/**
+ * One call on its way through its attempts.
+ *
+ * <p>Invariants: at most one attempt is under way; what an attempt given up still sends is dropped;
+ * the call ends exactly once. Used on the node's loop.
+ */
+final class RoutedCall implements CallHandle {
+    private final Call mCall;
+    private final AttemptPlan mPlan;
+    private final CoordinatorPort mPort;
+    private final AnswerSink mSink;
+    private final Metrics mMetrics;
+    private final Runnable mOnEnd;
+    private CallHandle mCurrent = () -> {};
+    private int mAttempt;
+    private boolean mAnswered;
+    private boolean mOver;
+
+    RoutedCall(
+            Call call,
+            AttemptPlan plan,
+            CoordinatorPort port,
+            AnswerSink sink,
+            Metrics metrics,
+            Runnable onEnd) {
+        mCall = call;
+        mPlan = plan;
+        mPort = port;
+        mSink = sink;
+        mMetrics = metrics;
+        mOnEnd = onEnd;
+    }
+
+    void begin() {
+        follow(mPlan.begin());
+    }
+
+    private void follow(AttemptPlan.Step step) {
+        if (step instanceof AttemptPlan.Step.Submit submit) {
+            int number = ++mAttempt;
+            CallHandle handle =
+                    mPort.submit(
+                            submit.server(), mCall, submit.mayRedirect(), new AttemptSink(number));
+            if (number == mAttempt && !mOver) {
+                mCurrent = handle;
+            }
+        } else if (step instanceof AttemptPlan.Step.GiveUp giveUp && over()) {
+            mSink.failed(giveUp.problem());
+        }
+    }
+
+    private boolean over() {
+        if (mOver) {
+            return false;
+        }
+        mOver = true;
+        mOnEnd.run();
+        return true;
+    }
+
+    @Override
+    public void cancel() {
+        if (over()) {
+            mCurrent.cancel();
+        }
+    }
+
+    /** Receives one attempt's answer; deaf once another attempt has begun. */
+    private final class AttemptSink implements AnswerSink {
+        private final int mNumber;
+
+        AttemptSink(int number) {
+            mNumber = number;
+        }
+
+        private boolean isCurrent() {
+            return mNumber == mAttempt && !mOver;
+        }
+
+        @Override
+        public void head(AnswerHead head) {
+            if (isCurrent()) {
+                mAnswered = true;
+                mSink.head(head);
+            }
+        }
+
+        @Override
+        public void chunk(Buffer data) {
+            if (isCurrent()) {
+                mSink.chunk(data);
+            }
+        }
+
+        @Override
+        public void end() {
+            if (isCurrent() && over()) {
+                mSink.end();
+            }
+        }
+
+        @Override
+        public void failed(Problem problem) {
+            if (!isCurrent()) {
+                return;
+            }
+            AttemptPlan.Step next = mPlan.failed(problem, mAnswered);
+            if (next instanceof AttemptPlan.Step.Submit) {
+                mMetrics.retry(mCall.service(), problem.code());
+            }
+            follow(next);
+        }
+
+        @Override
+        public void redirected() {
+            if (isCurrent()) {
+                follow(mPlan.redirected());
+            }
+        }
+
+        @Override
+        public boolean isFull() {
+            return mSink.isFull();
+        }
+
+        @Override
+        public void onDrain(Runnable action) {
+            mSink.onDrain(action);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fescuehollow/standins/Execution.java
@@ -0,0 +1,12 @@
+package org.fescuehollow.standins;
+
+/**
+ * One request that an engine stand-in began to run.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param requestId the request's id
+ * @param attempt the attempt's identity
+ * @param adapter the adapter it ran on
+ */
+public record Execution(String requestId, String attempt, String adapter) {}
--- /dev/null
+++ b/standins/src/main/java/org/fescuehollow/standins/VmListStandIn.java
@@ -0,0 +1,95 @@
+package org.fescuehollow.standins;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Stands in for the platform's VM list. Changing it is safe from any thread. */
+public final class VmListStandIn extends StandInServer {
+    private final Map<String, JsonObject> mVms = new TreeMap<>();
+    private final LongPolls mWaiting;
+    private long mRevision;
+
+    /**
+     * Creates the stand-in.
+     *
+     * @param vertx runs its event loop
+     */
+    public VmListStandIn(Vertx vertx) {
+        super(vertx);
+        mWaiting = new LongPolls(vertx);
+    }
+
+    /**
+     * Adds or changes a VM.
+     *
+     * @param id the VM's id
+     * @param role {@code entry}, {@code engine} or {@code service}
+     * @param service the service; empty for entry VMs
+     * @param domain the failure domain
+     * @param port its port on 127.0.0.1
+     */
+    public void put(String id, String role, String service, String domain, int port) {
+        change(
+                () ->
+                        mVms.put(
+                                id,
+                                new JsonObject()
+                                        .put("id", id)
+                                        .put("role", role)
+                                        .put("service", service)
+                                        .put("domain", domain)
+                                        .put("host", "127.0.0.1")
+                                        .put("port", port)
+                                        .put("state", "live")));
+    }
+
+    /**
+     * Marks a VM as leaving.
+     *
+     * @param id the VM's id
+     */
+    public void leave(String id) {
+        change(() -> mVms.get(id).put("state", "leaving"));
+    }
+
+    /**
+     * Removes a VM.
+     *
+     * @param id the VM's id
+     */
+    public void remove(String id) {
+        change(() -> mVms.remove(id));
+    }
+
+    private synchronized void change(Runnable action) {
+        action.run();
+        mRevision++;
+        vertx().runOnContext(v -> mWaiting.releaseAll());
+    }
+
+    @Override
+    protected void handle(HttpServerRequest request, Buffer body) {
+        long after = Long.parseLong(request.getParam("after", "0"));
+        long wait = Long.parseLong(request.getParam("wait_ms", "0"));
+        if (revision() > after || wait == 0) {
+            json(request, 200, page());
+        } else {
+            mWaiting.await(wait, () -> json(request, 200, page()));
+        }
+    }
+
+    private synchronized long revision() {
+        return mRevision;
+    }
+
+    private synchronized JsonObject page() {
+        JsonArray vms = new JsonArray();
+        mVms.values().forEach(vm -> vms.add(vm.copy()));
+        return new JsonObject().put("revision", mRevision).put("vms", vms);
+    }
+}
