--- a/core/src/main/java/org/fescuehollow/error/Problem.java
+++ b/core/src/main/java/org/fescuehollow/error/Problem.java
@@ -18,6 +18,7 @@
  * @param remedy what the reader should do
  * @param retryAfterSeconds when to send again; empty if sending again doesn't help
  * @param ticket a fresh idempotency ticket offered with the refusal
+ * @param crashes servers that crashed while they ran the request
  */
 public record Problem(
         ErrorCode code,
@@ -25,7 +26,8 @@
         String detail,
         String remedy,
         OptionalInt retryAfterSeconds,
-        Optional<String> ticket) {
+        Optional<String> ticket,
+        int crashes) {
     /**
      * Creates a problem that sending again doesn't mend.
      *
@@ -36,7 +38,7 @@
      * @return the problem
      */
     public static Problem of(ErrorCode code, RunState ran, String detail, String remedy) {
-        return new Problem(code, ran, detail, remedy, OptionalInt.empty(), Optional.empty());
+        return new Problem(code, ran, detail, remedy, OptionalInt.empty(), Optional.empty(), 0);
     }
 
     /**
@@ -46,7 +48,8 @@
      * @return the new problem
      */
     public Problem retryAfter(int seconds) {
-        return new Problem(code, ran, detail, remedy, OptionalInt.of(Math.max(1, seconds)), ticket);
+        return new Problem(
+                code, ran, detail, remedy, OptionalInt.of(Math.max(1, seconds)), ticket, crashes);
     }
 
     /**
@@ -56,7 +59,7 @@
      * @return the new problem
      */
     public Problem withRan(RunState state) {
-        return new Problem(code, state, detail, remedy, retryAfterSeconds, ticket);
+        return new Problem(code, state, detail, remedy, retryAfterSeconds, ticket, crashes);
     }
 
     /**
@@ -66,6 +69,17 @@
      * @return the new problem
      */
     public Problem withTicket(String fresh) {
-        return new Problem(code, ran, detail, remedy, retryAfterSeconds, Optional.of(fresh));
+        return new Problem(
+                code, ran, detail, remedy, retryAfterSeconds, Optional.of(fresh), crashes);
+    }
+
+    /**
+     * Returns this problem with the number of servers that crashed on the request.
+     *
+     * @param count the number
+     * @return the new problem
+     */
+    public Problem withCrashes(int count) {
+        return new Problem(code, ran, detail, remedy, retryAfterSeconds, ticket, count);
     }
 }
--- a/core/src/main/java/org/fescuehollow/idempotency/TicketLedger.java
+++ b/core/src/main/java/org/fescuehollow/idempotency/TicketLedger.java
@@ -5,6 +5,7 @@
 import static org.fescuehollow.error.ShouldKeepKeyUnique.shouldKnowOutcome;
 import static org.fescuehollow.internal.Preconditions.requireBetween;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -21,36 +22,82 @@
  * }</pre>
  *
  * <p>Invariants: a ticket is answered with {@code Run} at most once, unless its run ended as not
- * run; a ticket whose record was dropped to bound the memory is never run again. Not safe for
- * concurrent use.
+ * run; a ticket whose record was dropped to bound the memory is never run again; after a snapshot
+ * for another node was taken, nothing runs here. Not safe for concurrent use.
  */
 public final class TicketLedger {
     private final String mNode;
     private final String mIncarnation;
+    private final byte[] mSecret;
     private final TicketSeal mSeal;
     private final int mCapacity;
-    private final SortedMap<Long, Entry> mEntries = new TreeMap<>();
+    private final SortedMap<Long, LedgerRecord> mRecords = new TreeMap<>();
     private long mNextSerial;
     private long mForgottenBelow;
-
-    /** A used ticket: the digest of its call, and its outcome once known. */
-    private record Entry(long digest, Optional<Outcome> outcome) {}
+    private boolean mHandedOver;
 
     /**
      * Creates an empty ledger.
      *
      * @param node this node's id
      * @param incarnation this process's life
-     * @param seal seals its tickets
+     * @param secret random bytes that seal its tickets
      * @param capacity how many used tickets are remembered
      */
-    public TicketLedger(String node, String incarnation, TicketSeal seal, int capacity) {
+    public TicketLedger(String node, String incarnation, byte[] secret, int capacity) {
         mNode = node;
         mIncarnation = incarnation;
-        mSeal = seal;
+        mSecret = secret.clone();
+        mSeal = new TicketSeal(mSecret);
         mCapacity = (int) requireBetween("capacity", capacity, 1, Integer.MAX_VALUE);
     }
 
+    /**
+     * Takes over the ledger of a node that has stopped.
+     *
+     * @param snapshot what the node handed over
+     * @param capacity how many used tickets are remembered
+     * @return a ledger that answers for the same tickets
+     */
+    public static TicketLedger adopt(LedgerSnapshot snapshot, int capacity) {
+        TicketLedger ledger =
+                new TicketLedger(
+                        snapshot.node(), snapshot.incarnation(), snapshot.secret(), capacity);
+        ledger.mNextSerial = snapshot.nextSerial();
+        ledger.mForgottenBelow = snapshot.forgottenBelow();
+        snapshot.records().forEach(r -> ledger.mRecords.put(r.serial(), settled(r)));
+        ledger.dropOldest();
+        return ledger;
+    }
+
+    /** A call that was still running when its node stopped will never tell its outcome. */
+    private static LedgerRecord settled(LedgerRecord r) {
+        return r.outcome().isPresent()
+                ? r
+                : new LedgerRecord(
+                        r.serial(),
+                        r.digest(),
+                        Optional.of(
+                                Outcome.failure(
+                                        shouldKnowOutcome("its node stopped while it ran"))));
+    }
+
+    /**
+     * Hands the ledger over: from now on only the receiver may run its tickets.
+     *
+     * @return all that the receiver needs; calls still running count as of unknown outcome
+     */
+    public LedgerSnapshot handOver() {
+        mHandedOver = true;
+        return new LedgerSnapshot(
+                mNode,
+                mIncarnation,
+                mSecret.clone(),
+                mNextSerial,
+                mForgottenBelow,
+                List.copyOf(mRecords.values()));
+    }
+
     /**
      * Makes a ticket never used before.
      *
@@ -64,11 +111,12 @@
      * Tells whether this ledger may answer for a ticket.
      *
      * @param ticket the ticket
-     * @return true if it was minted here, in this life
+     * @return true if it was minted by this ledger
      */
     public boolean isOwn(Ticket ticket) {
         return ticket.node().equals(mNode)
                 && ticket.incarnation().equals(mIncarnation)
+                && ticket.serial() < mNextSerial
                 && mSeal.isGenuine(ticket);
     }
 
@@ -80,20 +128,23 @@
      * @return whether to run, replay or refuse
      */
     public LedgerAnswer begin(Ticket ticket, long digest) {
-        Entry known = mEntries.get(ticket.serial());
+        LedgerRecord known = mRecords.get(ticket.serial());
         if (known != null) {
             return answerOf(known, digest);
         }
+        if (mHandedOver) {
+            return new LedgerAnswer.Refuse(shouldKnowOutcome("its node is stopping"));
+        }
         if (ticket.serial() < mForgottenBelow) {
             return new LedgerAnswer.Refuse(
                     shouldKnowOutcome("its record was dropped to bound the memory"));
         }
-        mEntries.put(ticket.serial(), new Entry(digest, Optional.empty()));
+        mRecords.put(ticket.serial(), new LedgerRecord(ticket.serial(), digest, Optional.empty()));
         dropOldest();
         return new LedgerAnswer.Run();
     }
 
-    private static LedgerAnswer answerOf(Entry known, long digest) {
+    private static LedgerAnswer answerOf(LedgerRecord known, long digest) {
         if (known.digest() != digest) {
             return new LedgerAnswer.Refuse(shouldKeepRequest());
         }
@@ -103,10 +154,10 @@
     }
 
     private void dropOldest() {
-        if (mEntries.size() > mCapacity) {
-            long oldest = mEntries.firstKey();
-            mEntries.remove(oldest);
-            mForgottenBelow = oldest + 1;
+        while (mRecords.size() > mCapacity) {
+            long oldest = mRecords.firstKey();
+            mRecords.remove(oldest);
+            mForgottenBelow = Math.max(mForgottenBelow, oldest + 1);
         }
     }
 
@@ -117,15 +168,17 @@
      * @param outcome the outcome; a problem with {@code NOT_RUN} frees the ticket for another run
      */
     public void end(Ticket ticket, Outcome outcome) {
-        Entry known = mEntries.get(ticket.serial());
+        LedgerRecord known = mRecords.get(ticket.serial());
         if (known == null) {
             return;
         }
         boolean notRun = outcome.problem().filter(p -> p.ran() == RunState.NOT_RUN).isPresent();
         if (notRun) {
-            mEntries.remove(ticket.serial());
+            mRecords.remove(ticket.serial());
         } else {
-            mEntries.put(ticket.serial(), new Entry(known.digest(), Optional.of(outcome)));
+            mRecords.put(
+                    ticket.serial(),
+                    new LedgerRecord(ticket.serial(), known.digest(), Optional.of(outcome)));
         }
     }
 
@@ -135,7 +188,7 @@
      * @return at most the capacity
      */
     public int size() {
-        return mEntries.size();
+        return mRecords.size();
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/membership/Outgoing.java
@@ -0,0 +1,11 @@
+package org.fescuehollow.membership;
+
+/**
+ * A message to be sent, unreliably.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param to the receiver's id
+ * @param message the message
+ */
+public record Outgoing(String to, GossipMessage message) {}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/membership/ProbeOrder.java
@@ -0,0 +1,44 @@
+package org.fescuehollow.membership;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+import org.fescuehollow.routing.Rendezvous;
+
+/**
+ * Goes through names in a shuffled order, each once before any comes again.
+ *
+ * <p>Invariant: between two probes of a name lie fewer than twice as many probes as there are
+ * names. Not safe for concurrent use.
+ */
+final class ProbeOrder {
+    private final long mSeed;
+    private final Deque<String> mRest = new ArrayDeque<>();
+    private long mRound;
+
+    ProbeOrder(long seed) {
+        mSeed = seed;
+    }
+
+    Optional<String> next(Collection<String> names) {
+        while (true) {
+            if (mRest.isEmpty() && !refill(names)) {
+                return Optional.empty();
+            }
+            String name = mRest.poll();
+            if (names.contains(name)) {
+                return Optional.of(name);
+            }
+        }
+    }
+
+    private boolean refill(Collection<String> names) {
+        long round = mSeed + mRound++;
+        names.stream()
+                .sorted(Comparator.comparingLong(n -> Rendezvous.weight(round, Rendezvous.hash(n))))
+                .forEach(mRest::add);
+        return !mRest.isEmpty();
+    }
+}
--- a/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
+++ b/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
@@ -22,6 +22,7 @@
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.settings.FencingSupport;
 import org.fescuehollow.settings.ServicePolicy;
 
 /**
@@ -34,15 +35,18 @@
  * }</pre>
  *
  * <p>Invariants: an adapter with a running attempt is never unloaded; an attempt starts only while
- * its adapter is resident, and at most once; running attempts never exceed the batch; each attempt
- * submitted gets exactly one of start, refuse, redirect, or is cancelled. A coordinator decides
- * nothing about adapters before the engine's first report, and evicts nothing before its quiet
- * period has passed. Not safe for concurrent use.
+ * its adapter is resident, and at most once; running attempts never exceed the batch, and no two of
+ * them are suspects; each attempt submitted gets exactly one of start, refuse, redirect, or is
+ * cancelled. A coordinator decides nothing about adapters before the engine's first report, and
+ * evicts nothing before its quiet period has passed. Not safe for concurrent use.
  */
 public final class EngineCoordinator {
     /** How old a slot's last change must be before a late report may contradict it. */
     public static final Duration REPORT_LAG = Duration.ofSeconds(10);
 
+    /** How long a coordinator that was fenced off leaves the engine to the other one. */
+    public static final Duration SUPERSEDED = Duration.ofSeconds(30);
+
     private final String mServer;
     private final String mNode;
     private final SlotTable mSlots;
@@ -53,6 +57,9 @@
     private final ServiceTime mServiceTime = new ServiceTime();
     private ServicePolicy mPolicy;
     private String mIncarnation = "";
+    private long mQuietNanos;
+    private boolean mSuperseded;
+    private long mSupersededNanos;
     private boolean mKnown;
     private boolean mRetired;
 
@@ -91,6 +98,8 @@
      * @return the orders
      */
     public List<Order> begin(long now, long quietNanos) {
+        mQuietNanos = quietNanos;
+        mSuperseded = false;
         mLoads.evictFrom(now + quietNanos);
         mKnown = !mPolicy.model();
         return mKnown ? List.of() : List.of(new Order.Inspect());
@@ -117,7 +126,8 @@
      */
     public List<Order> submit(long now, Work work) {
         List<Order> orders = new ArrayList<>();
-        if (mRetired || (work.mayRedirect() && isCrowdedFor(work))) {
+        boolean givenUp = mRetired || mSuperseded;
+        if (givenUp || (work.mayRedirect() && isCrowdedFor(work))) {
             orders.add(new Order.Redirect(work));
             return orders;
         }
@@ -224,12 +234,46 @@
             mSlots.clear();
         }
         mIncarnation = report.incarnation();
+        List<Order> orders = new ArrayList<>();
+        mSlots.reconcile(report, now - REPORT_LAG.toNanos(), now);
         if (!mKnown) {
-            mLoads.setFencing(FencingNumber.after(report.highestFencing(), mNode));
-            mKnown = true;
+            takeOver(report, orders);
+        } else if (isFencedBy(report)) {
+            supersede(now, orders);
         }
-        mSlots.reconcile(report, now - REPORT_LAG.toNanos(), now);
-        return pump(now, new ArrayList<>());
+        if (mSlots.hasForeignUse()) {
+            mLoads.evictFrom(now + mQuietNanos);
+        }
+        return pump(now, orders);
+    }
+
+    private void takeOver(EngineReport report, List<Order> orders) {
+        mKnown = true;
+        mLoads.setFencing(FencingNumber.after(report.highestFencing(), mNode));
+        if (mPolicy.fencing() == FencingSupport.CHECKED) {
+            mSlots.anyResident().ifPresent(a -> orders.add(new Order.Claim(a, mLoads.fencing())));
+        }
+    }
+
+    private boolean isFencedBy(EngineReport report) {
+        return mPolicy.fencing() == FencingSupport.CHECKED
+                && report.highestFencing() > mLoads.fencing();
+    }
+
+    /** Another node has taken the engine over: leave it alone for a while. */
+    private void supersede(long now, List<Order> orders) {
+        mSuperseded = true;
+        mSupersededNanos = now;
+        redirectAll(orders);
+    }
+
+    private void redirectAll(List<Order> orders) {
+        mQueue.removeIf(w -> true)
+                .forEach(
+                        w -> {
+                            mStalled.remove(w.attempt());
+                            orders.add(new Order.Redirect(w));
+                        });
     }
 
     /**
@@ -239,6 +283,9 @@
      * @return the orders
      */
     public List<Order> tick(long now) {
+        if (mSuperseded && now - mSupersededNanos >= SUPERSEDED.toNanos()) {
+            return begin(now, mQuietNanos);
+        }
         return pump(now, new ArrayList<>());
     }
 
@@ -250,14 +297,14 @@
     public List<Order> retire() {
         mRetired = true;
         List<Order> orders = new ArrayList<>();
-        mQueue.removeIf(w -> true).forEach(w -> orders.add(new Order.Redirect(w)));
+        redirectAll(orders);
         return orders;
     }
 
     private List<Order> pump(long now, List<Order> orders) {
         mQueue.removeIf(w -> now - w.deadlineNanos() >= 0)
                 .forEach(w -> refuse(w, shouldMeetDeadline(w.waitedMillis(now)), orders));
-        if (mRetired || !mKnown) {
+        if (mRetired || mSuperseded || !mKnown) {
             return orders;
         }
         startReady(now, orders);
@@ -267,7 +314,7 @@
 
     private void startReady(long now, List<Order> orders) {
         while (mRunning.size() < mPolicy.batch()) {
-            Optional<Work> next = mQueue.poll(this::isReady);
+            Optional<Work> next = mQueue.poll(this::mayStart);
             if (next.isEmpty()) {
                 return;
             }
@@ -275,10 +322,18 @@
         }
     }
 
+    private boolean mayStart(Work work) {
+        return isReady(work) && !(work.suspect() && runsSuspect());
+    }
+
     private boolean isReady(Work work) {
         return work.adapter().map(mSlots::isResident).orElse(true);
     }
 
+    private boolean runsSuspect() {
+        return mRunning.values().stream().anyMatch(r -> r.work().suspect());
+    }
+
     private void start(long now, Work work, List<Order> orders) {
         work.adapter().ifPresent(a -> mSlots.pin(a, work.attempt(), now));
         mRunning.put(work.attempt(), new Running(work, now));
@@ -338,6 +393,7 @@
         out.put("retired", mRetired);
         out.put("running", mRunning.size());
         out.put("service", mPolicy.name());
+        out.put("superseded", mSuperseded);
         return out;
     }
 }
--- a/core/src/main/java/org/fescuehollow/placement/Order.java
+++ b/core/src/main/java/org/fescuehollow/placement/Order.java
@@ -49,6 +49,14 @@
      */
     record Redirect(Work work) implements Order {}
 
+    /**
+     * Show the engine this coordinator's fencing number, by an order that changes nothing.
+     *
+     * @param adapter an adapter that is resident
+     * @param fencing the fencing number
+     */
+    record Claim(AdapterRef adapter, long fencing) implements Order {}
+
     /** Ask the engine which adapters it holds and what it runs. */
     record Inspect() implements Order {}
 }
--- a/core/src/main/java/org/fescuehollow/placement/Slot.java
+++ b/core/src/main/java/org/fescuehollow/placement/Slot.java
@@ -23,6 +23,8 @@
     private State mState;
     private long mChangedNanos;
     private int mForeign;
+    private int mPeak;
+    private int mEarlierPeak;
 
     Slot(State state, long now) {
         mState = state;
@@ -50,15 +52,21 @@
             throw new IllegalStateException("expected a resident adapter, got " + mState);
         }
         mPins.add(attempt);
+        mPeak = Math.max(mPeak, mPins.size());
     }
 
     void unpin(String attempt) {
         mPins.remove(attempt);
     }
 
-    /** Sets how many requests of other coordinators use the adapter, as last reported. */
-    void setForeign(int running) {
-        mForeign = Math.max(0, running);
+    /**
+     * Takes a late report: what it counts beyond this coordinator's recent requests belongs to
+     * another coordinator.
+     */
+    void reportedRunning(int running) {
+        mForeign = Math.max(0, running - Math.max(mPeak, mEarlierPeak));
+        mEarlierPeak = mPeak;
+        mPeak = mPins.size();
     }
 
     boolean isPinned() {
--- a/core/src/main/java/org/fescuehollow/placement/SlotTable.java
+++ b/core/src/main/java/org/fescuehollow/placement/SlotTable.java
@@ -73,6 +73,14 @@
         return mEviction.pick(evictable, now);
     }
 
+    boolean hasForeignUse() {
+        return mSlots.values().stream().anyMatch(s -> s.foreign() > 0);
+    }
+
+    Optional<AdapterRef> anyResident() {
+        return mSlots.keySet().stream().filter(this::isResident).findFirst();
+    }
+
     boolean canMakeRoom(int limit) {
         return size() < limit
                 || mSlots.values().stream()
@@ -94,7 +102,7 @@
 
     private void adopt(AdapterRef adapter, int running, long now) {
         Slot slot = mSlots.computeIfAbsent(adapter, a -> new Slot(Slot.State.RESIDENT, now));
-        slot.setForeign(running - slot.pins());
+        slot.reportedRunning(running);
     }
 
     SortedMap<String, String> dump() {
--- a/core/src/main/java/org/fescuehollow/placement/Work.java
+++ b/core/src/main/java/org/fescuehollow/placement/Work.java
@@ -17,6 +17,7 @@
  * @param arrivedNanos when it arrived here, by the coordinator's monotonic clock
  * @param deadlineNanos when its start is too late, by the same clock
  * @param mayRedirect true while the sender has other backend servers to try
+ * @param suspect true if a backend server crashed while it ran the same request
  */
 public record Work(
         String attempt,
@@ -26,7 +27,8 @@
         Optional<AdapterRef> adapter,
         long arrivedNanos,
         long deadlineNanos,
-        boolean mayRedirect) {
+        boolean mayRedirect,
+        boolean suspect) {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /**
--- a/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
+++ b/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
@@ -30,6 +30,7 @@
     private int mNext;
     private int mAttempts;
     private boolean mInsisting;
+    private RunState mRan = RunState.NOT_RUN;
 
     /** The next step of a request. */
     public sealed interface Step {
@@ -90,7 +91,7 @@
      */
     public Step redirected() {
         if (mInsisting) {
-            return new Step.GiveUp(shouldFindCapacity(mService, "all its servers are crowded", 1));
+            return giveUp(shouldFindCapacity(mService, "all its servers are crowded", 1));
         }
         if (mNext < mCandidates.size()) {
             return submit(mCandidates.get(mNext++));
@@ -108,13 +109,19 @@
      */
     public Step failed(Problem problem, boolean answered) {
         mAttempts++;
+        mRan = problem.ran() == RunState.NOT_RUN ? mRan : problem.ran();
         if (answered || !mayRepeat(problem) || mAttempts >= MAX_ATTEMPTS || !mBudget.tryRetry()) {
-            return new Step.GiveUp(problem);
+            return giveUp(problem);
         }
         Vm next = mCandidates.get(mNext++ % mCandidates.size());
         return submit(next);
     }
 
+    /** A call is told to have not run only if none of its attempts may have run. */
+    private Step giveUp(Problem problem) {
+        return new Step.GiveUp(problem.ran() == RunState.NOT_RUN ? problem.withRan(mRan) : problem);
+    }
+
     private boolean mayRepeat(Problem problem) {
         boolean harmless = mRepeatable || problem.ran() == RunState.NOT_RUN;
         return harmless
--- a/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
@@ -1,12 +1,15 @@
 package org.fescuehollow.settings;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Arrays;
 import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.fescuehollow.error.FescuehollowException;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.routing.Rendezvous;
 
 /**
  * The settings known to a node; revisions of a path only ever grow.
@@ -23,7 +26,7 @@
 public final class SettingsStore {
     private final SortedMap<String, PathState> mPaths = new TreeMap<>();
     private SettingsView mView = SettingsView.EMPTY;
-    private long mDigest;
+    private final long[] mBuckets = new long[SettingsSpread.BUCKETS];
 
     /**
      * Merges an entry from the platform or from another node.
@@ -38,7 +41,7 @@
             return false;
         }
         mPaths.put(entry.path(), merged);
-        mDigest ^= (old == null ? 0 : hash(old)) ^ hash(merged);
+        mBuckets[bucketOf(entry.path())] ^= (old == null ? 0 : hash(old)) ^ hash(merged);
         Optional<SettingsEntry> before = old == null ? Optional.empty() : old.accepted();
         if (!merged.accepted().equals(before)) {
             mView = mView.with(merged.accepted().orElseThrow());
@@ -93,7 +96,26 @@
      * @return 64 bits, order of merging doesn't matter
      */
     public long digest() {
-        return mDigest;
+        return Arrays.stream(mBuckets).reduce(0, (a, b) -> Long.rotateLeft(a, 1) ^ b);
+    }
+
+    /**
+     * Returns a digest of each bucket of paths.
+     *
+     * @return {@link SettingsSpread#BUCKETS} numbers
+     */
+    public List<Long> bucketDigests() {
+        return Arrays.stream(mBuckets).boxed().toList();
+    }
+
+    /**
+     * Returns the bucket of a path.
+     *
+     * @param path the path
+     * @return from zero, below {@link SettingsSpread#BUCKETS}
+     */
+    static int bucketOf(String path) {
+        return (int) Long.remainderUnsigned(Rendezvous.hash(path), SettingsSpread.BUCKETS);
     }
 
     /**
--- a/core/src/test/java/org/fescuehollow/idempotency/TicketLedgerTest.java
+++ b/core/src/test/java/org/fescuehollow/idempotency/TicketLedgerTest.java
@@ -11,8 +11,7 @@
 
 class TicketLedgerTest {
     private static final Outcome PAID = Outcome.answer(200, "text/plain", new byte[] {1});
-    private final TicketLedger mLedger =
-            new TicketLedger("n1", "life1", new TicketSeal(new byte[] {7}), 2);
+    private final TicketLedger mLedger = new TicketLedger("n1", "life1", new byte[] {7}, 2);
 
     @Test
     void begin_runsATicketOnceAndReplaysItsOutcome() {
@@ -66,7 +65,7 @@
     void isOwn_refusesForgedAndForeignTickets() {
         // GIVEN
         Ticket t = mLedger.mint();
-        TicketLedger later = new TicketLedger("n1", "life2", new TicketSeal(new byte[] {7}), 2);
+        TicketLedger later = new TicketLedger("n1", "life2", new byte[] {7}, 2);
         // WHEN / THEN
         then(mLedger.isOwn(Ticket.parse(t.toString()).orElseThrow())).isTrue();
         then(mLedger.isOwn(new Ticket("n1", "life1", 99, t.seal()))).isFalse();
--- a/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
+++ b/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
@@ -81,7 +81,8 @@
                         Optional.of(adapter),
                         mNow,
                         deadline,
-                        pick % 4 == 0);
+                        pick % 4 == 0,
+                        pick % 11 == 0);
         mOpen.put(id, work);
         carryOut(mCoordinator.submit(mNow, work));
     }
@@ -164,6 +165,8 @@
         check(mResident.contains(work.adapter().orElseThrow()), "started without its adapter");
         mRunning.put(work.attempt(), work);
         check(mRunning.size() <= mBatch, "batch exceeded");
+        long suspects = mRunning.values().stream().filter(Work::suspect).count();
+        check(suspects <= 1, "two suspects on one engine");
     }
 
     private void close(Work work) {
--- a/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
+++ b/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.server;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
@@ -10,13 +11,18 @@
 import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.coordination.CoordinationService;
+import org.fescuehollow.server.coordination.CoordinatorService;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.front.FrontService;
 import org.fescuehollow.server.idempotency.IdempotencyService;
 import org.fescuehollow.server.loop.NodeLoop;
+import org.fescuehollow.server.membership.MembershipService;
 import org.fescuehollow.server.metrics.Metrics;
+import org.fescuehollow.server.peer.PeerService;
 import org.fescuehollow.server.routing.RoutingService;
 import org.fescuehollow.server.settings.SettingsService;
+import org.fescuehollow.server.settings.SettingsSpreadService;
+import org.fescuehollow.server.suspects.SuspectsService;
 
 /**
  * Entry point of the library: builds the services of one entry process.
@@ -55,9 +61,14 @@
                 Kernel.of(
                         new SettingsService(config, loop, client, metrics),
                         new FleetService(config, loop, client, metrics),
+                        new SuspectsService(loop, metrics),
+                        new PeerService(config, loop, incarnation),
+                        new MembershipService(config, loop, metrics),
+                        new SettingsSpreadService(config, loop, metrics),
                         new CoordinationService(config, loop, backends, metrics, incarnation),
+                        new CoordinatorService(config),
                         new RoutingService(config, metrics),
-                        new IdempotencyService(config, incarnation),
+                        new IdempotencyService(config, loop, metrics, incarnation),
                         new FrontService(config, loop, metrics),
                         new AdminService(config, loop, metrics));
         return new FescuehollowServer(vertx, kernel);
@@ -76,20 +87,23 @@
         mKernel.start();
     }
 
-    /** Finishes requests under way, then stops. */
+    /** Finishes requests under way, hands over to other nodes, then stops. */
     public void drainAndStop() {
-        mKernel.find(FrontService.NAME, FrontService.class)
-                .drain()
-                .toCompletionStage()
-                .toCompletableFuture()
-                .join();
+        join(mKernel.find(FrontService.NAME, FrontService.class).drain());
+        join(mKernel.find(IdempotencyService.NAME, IdempotencyService.class).handOver());
+        mKernel.find(MembershipService.NAME, MembershipService.class).leave();
+        join(mKernel.find(CoordinationService.NAME, CoordinationService.class).drain());
         stop();
     }
 
+    private static void join(Future<?> future) {
+        future.toCompletionStage().toCompletableFuture().join();
+    }
+
     /** Stops at once. */
     public void stop() {
         mKernel.stop();
-        mVertx.close().toCompletionStage().toCompletableFuture().join();
+        join(mVertx.close());
     }
 
     /**
@@ -110,6 +124,15 @@
         return mKernel.find(FrontService.NAME, FrontService.class).port();
     }
 
+    /**
+     * Returns the port that other nodes use.
+     *
+     * @return the TCP and UDP port bound
+     */
+    public int peerPort() {
+        return mKernel.find(PeerService.NAME, PeerService.class).port();
+    }
+
     /**
      * Returns the port that operators use.
      *
--- a/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
+++ b/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
@@ -19,6 +19,7 @@
 import org.fescuehollow.server.front.FrontService;
 import org.fescuehollow.server.front.ProblemWriter;
 import org.fescuehollow.server.loop.NodeLoop;
+import org.fescuehollow.server.membership.MembershipService;
 import org.fescuehollow.server.metrics.Metrics;
 import org.fescuehollow.server.platform.Json;
 import org.fescuehollow.server.settings.SettingsService;
@@ -129,6 +130,7 @@
         SettingsService settings = mKernel.find(SettingsService.NAME, SettingsService.class);
         boolean ready =
                 mKernel.find(FrontService.NAME, FrontService.class).isOpen()
+                        && mKernel.find(MembershipService.NAME, MembershipService.class).isSettled()
                         && !settings.view().services().isEmpty();
         text(request, ready ? 200 : 503, ready ? "ready" : "not ready");
     }
--- a/server/src/main/java/org/fescuehollow/server/config/Limits.java
+++ b/server/src/main/java/org/fescuehollow/server/config/Limits.java
@@ -16,6 +16,7 @@
  * @param drainMillis longest time that a planned stop waits for requests
  * @param quietMillis time from taking over an engine to the first eviction on it
  * @param ledgerEntries idempotency records kept
+ * @param probeMillis time between two probes of other nodes
  */
 public record Limits(
         int bodyBytes,
@@ -26,7 +27,8 @@
         int loadMillis,
         int drainMillis,
         int quietMillis,
-        int ledgerEntries) {
+        int ledgerEntries,
+        int probeMillis) {
     static Limits from(JsonNode tree) {
         return new Limits(
                 tree.path("body_bytes").asInt(1 << 20),
@@ -37,6 +39,7 @@
                 tree.path("load_ms").asInt(30_000),
                 tree.path("drain_ms").asInt(120_000),
                 tree.path("quiet_ms").asInt(5_000),
-                tree.path("ledger_entries").asInt(100_000));
+                tree.path("ledger_entries").asInt(100_000),
+                tree.path("probe_ms").asInt(1_000));
     }
 }
--- a/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
@@ -1,8 +1,10 @@
 package org.fescuehollow.server.coordination;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.error.RunState;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -17,6 +19,7 @@
     private final Call mCall;
     private final AnswerSink mSink;
     private final Runnable mOnEnd;
+    private final BiConsumer<Problem, Consumer<Problem>> mOnBreak;
     private CallHandle mExchange = () -> {};
     private boolean mOver;
 
@@ -26,11 +29,17 @@
      * @param call the call
      * @param sink receives the answer
      * @param onEnd run once when a started attempt is over
+     * @param onBreak takes a failure after which the server may have crashed, and who to tell it
      */
-    Attempt(Call call, AnswerSink sink, Runnable onEnd) {
+    Attempt(
+            Call call,
+            AnswerSink sink,
+            Runnable onEnd,
+            BiConsumer<Problem, Consumer<Problem>> onBreak) {
         mCall = call;
         mSink = sink;
         mOnEnd = onEnd;
+        mOnBreak = onBreak;
     }
 
     Call call() {
@@ -90,6 +99,14 @@
 
     @Override
     public void failed(Problem problem) {
+        if (problem.ran() == RunState.NOT_RUN || mCall.adapter().isEmpty()) {
+            failNow(problem);
+        } else {
+            mOnBreak.accept(problem, this::failNow);
+        }
+    }
+
+    private void failNow(Problem problem) {
         if (over()) {
             mSink.failed(problem);
         }
--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
@@ -1,5 +1,7 @@
 package org.fescuehollow.server.coordination;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,12 +19,14 @@
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
-import org.fescuehollow.server.call.CoordinatorPort;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.loop.NodeLoop;
+import org.fescuehollow.server.membership.MembershipService;
 import org.fescuehollow.server.metrics.Metrics;
+import org.fescuehollow.server.peer.PeerService;
 import org.fescuehollow.server.settings.SettingsService;
+import org.fescuehollow.server.suspects.SuspectsService;
 import org.fescuehollow.settings.ServicePolicy;
 import org.fescuehollow.settings.StorePolicy;
 
@@ -32,7 +36,7 @@
  * <p>Invariant: holds a post for each server that the fleet view gives this node, and for servers
  * given up until their last request has ended. Used on the node's loop.
  */
-public final class CoordinationService implements Service, CoordinatorPort {
+public final class CoordinationService implements Service {
     /** The name under which other services find this one. */
     public static final String NAME = "coordination";
 
@@ -49,9 +53,10 @@
     private final StoreBudget mBudget;
     private SettingsService mSettings;
     private FleetService mFleet;
+    private PostContext mContext;
     private Runnable mStopTimers = () -> {};
     private long mAttempts;
-    private boolean mHadPosts;
+    private boolean mDraining;
 
     /**
      * Creates the service.
@@ -85,6 +90,16 @@
     public void start(Kernel kernel) {
         mSettings = kernel.find(SettingsService.NAME, SettingsService.class);
         mFleet = kernel.find(FleetService.NAME, FleetService.class);
+        mContext =
+                new PostContext(
+                        mClient,
+                        mLoop,
+                        mMetrics,
+                        kernel.find(SuspectsService.NAME, SuspectsService.class),
+                        Duration.ofMillis(mConfig.limits().quietMillis()).toNanos());
+        kernel.find(MembershipService.NAME, MembershipService.class)
+                .onPause(() -> mPosts.values().forEach(ServerPost::begin));
+        kernel.find(PeerService.NAME, PeerService.class).onSubmit(this::submit);
         mLoop.run(
                 () -> {
                     mSettings.onChange(e -> reconcile());
@@ -101,6 +116,9 @@
     }
 
     private void reconcile() {
+        if (mDraining) {
+            return;
+        }
         StorePolicy store = mSettings.view().store();
         double share = store.shareOf(mConfig.domain()) / nodesInDomain();
         mBudget.setShare(
@@ -114,7 +132,6 @@
         List<String> lost = mPosts.keySet().stream().filter(id -> !mine.containsKey(id)).toList();
         lost.forEach(this::giveUp);
         mine.values().forEach(this::keep);
-        mHadPosts = mHadPosts || !mPosts.isEmpty();
     }
 
     private int nodesInDomain() {
@@ -130,6 +147,9 @@
         mRetired.add(post);
         mMetrics.event("coordination_given_up");
         post.retire();
+        if (mFleet.view().vms().find(server).isEmpty()) {
+            post.serverGone();
+        }
     }
 
     private void keep(Vm server) {
@@ -146,14 +166,7 @@
                         policy,
                         Eviction.LEAST_FREQUENT_AGED,
                         mBudget);
-        ServerPost created =
-                new ServerPost(
-                        server,
-                        coordinator,
-                        mClient,
-                        mLoop,
-                        mMetrics,
-                        Duration.ofMillis(mConfig.limits().quietMillis()).toNanos());
+        ServerPost created = new ServerPost(server, coordinator, mContext);
         mPosts.put(server.id(), created);
         mMetrics.event("coordination_taken");
         created.begin();
@@ -172,9 +185,17 @@
         return mSettings.view().service(server.service()).filter(ServicePolicy::model).isPresent();
     }
 
-    @Override
-    public CallHandle submit(Vm server, Call call, boolean mayRedirect, AnswerSink sink) {
-        ServerPost post = mPosts.get(server.id());
+    /**
+     * Takes an attempt, from this node or another.
+     *
+     * @param server the backend server's id
+     * @param call the call
+     * @param mayRedirect true if the sender has other servers to try
+     * @param sink receives the answer; redirected if this node doesn't coordinate the server
+     * @return withdraws the attempt
+     */
+    public CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink) {
+        ServerPost post = mPosts.get(server);
         if (post == null) {
             sink.redirected();
             return () -> {};
@@ -184,12 +205,28 @@
     }
 
     /**
-     * Tells whether this node ever had a backend server to coordinate.
+     * Gives all backend servers up and waits for what runs on them.
      *
-     * @return true once it had one
+     * @return completes when nothing runs, or when the limit for draining has passed
      */
-    public boolean hasBegun() {
-        return mHadPosts;
+    public Future<Void> drain() {
+        Promise<Void> done = Promise.promise();
+        mLoop.run(
+                () -> {
+                    List.copyOf(mPosts.keySet()).forEach(this::giveUp);
+                    mDraining = true;
+                    pollIdle(done, mLoop.now() + mConfig.limits().drainMillis() * 1_000_000L);
+                });
+        return done.future();
+    }
+
+    private void pollIdle(Promise<Void> done, long end) {
+        mRetired.removeIf(ServerPost::isIdle);
+        if (mRetired.isEmpty() || mLoop.now() >= end) {
+            done.tryComplete();
+        } else {
+            mLoop.after(TICK_MILLIS, () -> pollIdle(done, end));
+        }
     }
 
     @Override
--- a/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
@@ -1,13 +1,19 @@
 package org.fescuehollow.server.coordination;
 
+import static org.fescuehollow.error.ShouldNotCrashBackends.shouldNotCrashBackends;
+
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
 import org.fescuehollow.placement.EngineCoordinator;
@@ -15,15 +21,13 @@
 import org.fescuehollow.placement.Order;
 import org.fescuehollow.placement.Work;
 import org.fescuehollow.server.backend.AdminReply;
-import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.backend.EngineProtocol;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
-import org.fescuehollow.server.loop.NodeLoop;
-import org.fescuehollow.server.metrics.Metrics;
 import org.fescuehollow.settings.ServicePolicy;
+import org.fescuehollow.suspects.CrashSuspects;
 
 /**
  * Carries out the orders of one backend server's coordinator.
@@ -36,53 +40,62 @@
 
     private final Vm mServer;
     private final EngineCoordinator mCoordinator;
-    private final BackendClient mClient;
-    private final NodeLoop mLoop;
-    private final Metrics mMetrics;
-    private final long mQuietNanos;
+    private final PostContext mContext;
     private final Map<String, Attempt> mAttempts = new HashMap<>();
+    private final BrokenAttempts mBroken;
+    private String mIncarnation = "";
     private boolean mInspecting;
     private boolean mDown;
 
-    ServerPost(
-            Vm server,
-            EngineCoordinator coordinator,
-            BackendClient client,
-            NodeLoop loop,
-            Metrics metrics,
-            long quietNanos) {
+    ServerPost(Vm server, EngineCoordinator coordinator, PostContext context) {
         mServer = server;
         mCoordinator = coordinator;
-        mClient = client;
-        mLoop = loop;
-        mMetrics = metrics;
-        mQuietNanos = quietNanos;
+        mContext = context;
+        mBroken = new BrokenAttempts(context.suspects());
+    }
+
+    private long now() {
+        return mContext.loop().now();
     }
 
     void begin() {
-        carryOut(mCoordinator.begin(mLoop.now(), mQuietNanos));
+        carryOut(mCoordinator.begin(now(), mContext.quietNanos()));
     }
 
     void configure(ServicePolicy policy) {
-        carryOut(mCoordinator.configure(mLoop.now(), policy));
+        carryOut(mCoordinator.configure(now(), policy));
     }
 
     void tick() {
-        if (mCoordinator.queued() > 0) {
-            carryOut(mCoordinator.tick(mLoop.now()));
-        }
+        carryOut(mCoordinator.tick(now()));
     }
 
     void retire() {
         carryOut(mCoordinator.retire());
     }
 
+    /** Takes that the platform no longer lists the server: what broke with it has crashed it. */
+    void serverGone() {
+        if (!mBroken.isEmpty()) {
+            mBroken.crashed(List.of());
+        }
+    }
+
     boolean isIdle() {
         return mCoordinator.isIdle();
     }
 
     CallHandle submit(String attempt, Call call, boolean mayRedirect, AnswerSink sink) {
-        long now = mLoop.now();
+        long now = now();
+        long digest = call.digest();
+        int crashes = Math.max(call.crashes(), mContext.suspects().count(digest));
+        if (crashes >= CrashSuspects.LIMIT) {
+            sink.failed(shouldNotCrashBackends(crashes));
+            return () -> {};
+        }
+        if (call.crashes() > 0) {
+            mContext.suspects().merge(new CrashSuspects.Finding(digest, call.crashes(), now));
+        }
         Work work =
                 new Work(
                         attempt,
@@ -92,8 +105,15 @@
                         call.adapter(),
                         now,
                         now + Duration.ofMillis(call.patienceMillis()).toNanos(),
-                        mayRedirect);
-        mAttempts.put(attempt, new Attempt(call, sink, () -> ended(attempt)));
+                        mayRedirect,
+                        crashes > 0);
+        mAttempts.put(
+                attempt,
+                new Attempt(
+                        call,
+                        sink,
+                        () -> ended(attempt),
+                        (problem, release) -> broke(digest, problem, release)));
         carryOut(mCoordinator.submit(now, work));
         return () -> cancel(attempt);
     }
@@ -108,7 +128,12 @@
 
     private void ended(String attempt) {
         mAttempts.remove(attempt);
-        carryOut(mCoordinator.finished(mLoop.now(), attempt));
+        carryOut(mCoordinator.finished(now(), attempt));
+    }
+
+    private void broke(long digest, Problem problem, Consumer<Problem> release) {
+        mBroken.add(digest, problem, release);
+        inspect();
     }
 
     private void carryOut(List<Order> orders) {
@@ -117,9 +142,15 @@
 
     private void carryOut(Order order) {
         if (order instanceof Order.Load load) {
-            load(load);
+            order(EngineProtocol.LOAD_PATH, load.adapter(), load.fencing(), this::loadEnded);
         } else if (order instanceof Order.Unload unload) {
-            unload(unload);
+            order(
+                    EngineProtocol.UNLOAD_PATH,
+                    unload.adapter(),
+                    unload.fencing(),
+                    this::unloadEnded);
+        } else if (order instanceof Order.Claim claim) {
+            order(EngineProtocol.LOAD_PATH, claim.adapter(), claim.fencing(), (a, r) -> {});
         } else if (order instanceof Order.Start start) {
             start(start);
         } else if (order instanceof Order.Refuse refuse) {
@@ -135,54 +166,48 @@
         return mAttempts.remove(work.attempt());
     }
 
-    private void load(Order.Load load) {
-        mClient.order(mServer, EngineProtocol.LOAD_PATH, load.adapter(), load.fencing())
-                .onSuccess(reply -> loadEnded(load.adapter(), reply));
-    }
-
-    private void loadEnded(AdapterRef adapter, AdminReply reply) {
-        boolean ok = reply == AdminReply.DONE;
-        mMetrics.load(mServer.service(), ok);
-        noticeFencing(reply);
-        carryOut(mCoordinator.loaded(mLoop.now(), adapter, ok));
+    private void order(
+            String path, AdapterRef adapter, long fencing, BiConsumer<AdapterRef, Boolean> ended) {
+        mContext.client()
+                .order(mServer, path, adapter, fencing)
+                .onSuccess(
+                        reply -> {
+                            if (reply == AdminReply.FENCED) {
+                                mContext.metrics().event("order_fenced");
+                                begin();
+                            }
+                            ended.accept(adapter, reply == AdminReply.DONE);
+                        });
     }
 
-    private void unload(Order.Unload unload) {
-        mClient.order(mServer, EngineProtocol.UNLOAD_PATH, unload.adapter(), unload.fencing())
-                .onSuccess(reply -> unloadEnded(unload.adapter(), reply));
+    private void loadEnded(AdapterRef adapter, boolean ok) {
+        mContext.metrics().load(mServer.service(), ok);
+        carryOut(mCoordinator.loaded(now(), adapter, ok));
     }
 
-    private void unloadEnded(AdapterRef adapter, AdminReply reply) {
-        noticeFencing(reply);
-        carryOut(mCoordinator.unloaded(mLoop.now(), adapter, reply == AdminReply.DONE));
-    }
-
-    private void noticeFencing(AdminReply reply) {
-        if (reply == AdminReply.FENCED) {
-            mMetrics.event("order_fenced");
-            carryOut(mCoordinator.begin(mLoop.now(), mQuietNanos));
-        }
+    private void unloadEnded(AdapterRef adapter, boolean ok) {
+        carryOut(mCoordinator.unloaded(now(), adapter, ok));
     }
 
     private void start(Order.Start start) {
         String id = start.work().attempt();
         Attempt attempt = mAttempts.get(id);
         Call call = attempt.call();
-        mMetrics.started(call.service(), call.priority(), start.stalled(), start.waitedNanos());
+        mContext.metrics()
+                .started(call.service(), call.priority(), start.stalled(), start.waitedNanos());
         attempt.runs(
-                mClient.send(
-                        mServer,
-                        call,
-                        id,
-                        attempt,
-                        (status, type) ->
-                                attempt.head(
-                                        new AnswerHead(
-                                                status,
-                                                type,
-                                                mServer.id(),
-                                                start.stalled(),
-                                                start.waitedNanos() / 1_000))));
+                mContext.client()
+                        .send(
+                                mServer,
+                                call,
+                                id,
+                                attempt,
+                                (status, type) -> attempt.head(headOf(start, status, type))));
+    }
+
+    private AnswerHead headOf(Order.Start start, int status, String type) {
+        return new AnswerHead(
+                status, type, mServer.id(), start.stalled(), start.waitedNanos() / 1_000);
     }
 
     /** Asks an engine for its report, unless one is asked for already. */
@@ -191,7 +216,7 @@
             return;
         }
         mInspecting = true;
-        mClient.inspect(mServer).onSuccess(this::inspected).onFailure(this::notInspected);
+        mContext.client().inspect(mServer).onSuccess(this::inspected).onFailure(this::notInspected);
     }
 
     private void inspected(EngineReport report) {
@@ -200,18 +225,37 @@
             mDown = false;
             LOG.log(Level.INFO, "backend server " + mServer.id() + " answers");
         }
-        carryOut(mCoordinator.reported(mLoop.now(), report));
+        boolean restarted = !mIncarnation.isEmpty() && !mIncarnation.equals(report.incarnation());
+        mIncarnation = report.incarnation();
+        carryOut(mCoordinator.reported(now(), report));
+        if (mBroken.isEmpty()) {
+            return;
+        }
+        if (restarted) {
+            mBroken.crashed(runningDigests());
+        } else {
+            mBroken.survived();
+        }
+    }
+
+    private List<Long> runningDigests() {
+        return mCoordinator.running().keySet().stream()
+                .map(mAttempts::get)
+                .filter(Objects::nonNull)
+                .map(a -> a.call().digest())
+                .toList();
     }
 
     private void notInspected(Throwable cause) {
         mInspecting = false;
         if (!mDown) {
             mDown = true;
-            mMetrics.event("server_lost");
+            mContext.metrics().event("server_lost");
             LOG.log(
                     Level.WARNING,
                     "backend server " + mServer.id() + " is silent: " + cause.getMessage());
         }
+        mBroken.silent();
     }
 
     Vm server() {
--- a/server/src/main/java/org/fescuehollow/server/fleet/FleetService.java
+++ b/server/src/main/java/org/fescuehollow/server/fleet/FleetService.java
@@ -36,6 +36,7 @@
     private final HttpClient mClient;
     private final Metrics mMetrics;
     private final List<Runnable> mListeners = new ArrayList<>();
+    private final List<Runnable> mListListeners = new ArrayList<>();
     private Optional<LongPoll> mPoll = Optional.empty();
     private VmList mVms = VmList.EMPTY;
     private Set<String> mLiveNodes;
@@ -54,7 +55,7 @@
         mLoop = loop;
         mClient = client;
         mMetrics = metrics;
-        mLiveNodes = Set.of(config.nodeId());
+        mLiveNodes = new TreeSet<>();
         mView = FleetView.of(mVms, mLiveNodes);
     }
 
@@ -87,17 +88,17 @@
             mVms = list;
             mMetrics.event("vm_list_changed");
             rebuild();
+            mListListeners.forEach(Runnable::run);
         }
     }
 
     /**
      * Takes which entry nodes are alive.
      *
-     * @param nodes ids, this node's own included
+     * @param nodes ids; this node's own once it may take backend servers over
      */
     public void setLiveNodes(Set<String> nodes) {
         Set<String> live = new TreeSet<>(nodes);
-        live.add(mConfig.nodeId());
         if (!live.equals(mLiveNodes)) {
             mLiveNodes = live;
             rebuild();
@@ -120,6 +121,24 @@
         mListeners.add(listener);
     }
 
+    /**
+     * Registers an action for each change of the platform's list.
+     *
+     * @param listener the action
+     */
+    public void onListChange(Runnable listener) {
+        mListListeners.add(listener);
+    }
+
+    /**
+     * Returns the entry nodes that are alive.
+     *
+     * @return ids; this node's own once it may take backend servers over
+     */
+    public Set<String> liveNodes() {
+        return mLiveNodes;
+    }
+
     /**
      * Returns the fleet as known now.
      *
--- a/server/src/main/java/org/fescuehollow/server/metrics/Metrics.java
+++ b/server/src/main/java/org/fescuehollow/server/metrics/Metrics.java
@@ -52,6 +52,16 @@
                     .help("Changes of state of this process, by kind")
                     .labelNames("kind")
                     .register(mRegistry);
+    private final Counter mControlBytes =
+            Counter.builder()
+                    .name("fescuehollow_control_bytes_total")
+                    .help("Payload of control messages sent to other nodes")
+                    .register(mRegistry);
+    private final Counter mControlMessages =
+            Counter.builder()
+                    .name("fescuehollow_control_messages_total")
+                    .help("Control messages sent to other nodes")
+                    .register(mRegistry);
     private final Gauge mGauges =
             Gauge.builder()
                     .name("fescuehollow_state")
@@ -123,6 +133,16 @@
         mGauges.labelValues(name).set(value);
     }
 
+    /**
+     * Counts control traffic to other nodes.
+     *
+     * @param bytes the payload sent
+     */
+    public void sentControl(int bytes) {
+        mControlBytes.inc(bytes);
+        mControlMessages.inc();
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      *
--- /dev/null
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerRequests.java
@@ -0,0 +1,40 @@
+package org.fescuehollow.server.peer;
+
+import java.util.function.Consumer;
+import org.fescuehollow.server.call.AnswerSink;
+import org.fescuehollow.server.call.Call;
+import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.wire.PeerProto;
+
+/** Serves what other nodes ask of this one. Called on the node's loop. */
+public interface PeerRequests {
+    /**
+     * Serves an attempt on a backend server that this node coordinates.
+     *
+     * @param server the backend server's id
+     * @param call the call
+     * @param mayRedirect true if the sender has other servers to try
+     * @param sink receives the answer
+     * @return withdraws the attempt
+     */
+    CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink);
+
+    /**
+     * Serves a call whose ticket this node answers for.
+     *
+     * @param ticket the ticket
+     * @param call the call
+     * @param sink receives the answer; redirected if this node doesn't answer for the ticket
+     * @return withdraws the call
+     */
+    CallHandle runTicket(String ticket, Call call, AnswerSink sink);
+
+    /**
+     * Takes a frame that belongs to no call.
+     *
+     * @param node the sender
+     * @param frame the frame
+     * @param reply sends a frame back
+     */
+    void news(String node, PeerProto.Frame frame, Consumer<PeerProto.Frame> reply);
+}
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -17,7 +17,7 @@
  * the call ends exactly once. Used on the node's loop.
  */
 final class RoutedCall implements CallHandle {
-    private final Call mCall;
+    private Call mCall;
     private final AttemptPlan mPlan;
     private final CoordinatorPort mPort;
     private final AnswerSink mSink;
@@ -116,6 +116,7 @@
             if (!isCurrent()) {
                 return;
             }
+            mCall = mCall.withCrashes(Math.max(mCall.crashes(), problem.crashes()));
             AttemptPlan.Step next = mPlan.failed(problem, mAnswered);
             if (next instanceof AttemptPlan.Step.Submit) {
                 mMetrics.retry(mCall.service(), problem.code());
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutingService.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutingService.java
@@ -1,5 +1,7 @@
 package org.fescuehollow.server.routing;
 
+import static org.fescuehollow.error.ShouldNotCrashBackends.shouldNotCrashBackends;
+
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -15,9 +17,11 @@
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.call.CoordinatorPort;
 import org.fescuehollow.server.config.NodeConfig;
-import org.fescuehollow.server.coordination.CoordinationService;
+import org.fescuehollow.server.coordination.CoordinatorService;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.metrics.Metrics;
+import org.fescuehollow.server.suspects.SuspectsService;
+import org.fescuehollow.suspects.CrashSuspects;
 
 /**
  * Takes each call to a backend server, trying others where that is safe.
@@ -37,6 +41,7 @@
     private final RetryBudget mBudget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
     private FleetService mFleet;
     private CoordinatorPort mPort;
+    private SuspectsService mSuspects;
     private int mInFlight;
 
     /**
@@ -58,7 +63,8 @@
     @Override
     public void start(Kernel kernel) {
         mFleet = kernel.find(FleetService.NAME, FleetService.class);
-        mPort = kernel.find(CoordinationService.NAME, CoordinationService.class);
+        mPort = kernel.find(CoordinatorService.NAME, CoordinatorService.class);
+        mSuspects = kernel.find(SuspectsService.NAME, SuspectsService.class);
     }
 
     /**
@@ -69,6 +75,11 @@
      * @return withdraws the call
      */
     public CallHandle run(Call call, AnswerSink sink) {
+        int crashes = mSuspects.count(call.digest());
+        if (crashes >= CrashSuspects.LIMIT) {
+            sink.failed(shouldNotCrashBackends(crashes));
+            return () -> {};
+        }
         mInFlight++;
         RoutedCall routed = new RoutedCall(call, planOf(call), mPort, sink, mMetrics, this::ended);
         routed.begin();
