Several nodes proved over sockets; a crash counts once however late its break shows

Two faults: a refused connection was not taken as proof of a crash, so retries went on with a provisional count; and a break noticed after the crash was counted a second time. Change: a refused connection proves a crash; an attempt counts for one crash only; a call breaks on at most three servers.

--- a/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
+++ b/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
@@ -21,7 +21,8 @@
  * bytes of an answer went to the caller, no other attempt begins. Not safe for concurrent use.
  */
 public final class AttemptPlan {
-    private static final int MAX_ATTEMPTS = 4;
+    private static final int MAX_ATTEMPTS = 6;
+    private static final int MAX_BROKEN = 3;
 
     private final String mService;
     private final List<Vm> mCandidates;
@@ -29,6 +30,7 @@
     private final RetryBudget mBudget;
     private int mNext;
     private int mAttempts;
+    private int mBroken;
     private boolean mInsisting;
     private RunState mRan = RunState.NOT_RUN;
 
@@ -109,8 +111,12 @@
      */
     public Step failed(Problem problem, boolean answered) {
         mAttempts++;
-        mRan = problem.ran() == RunState.NOT_RUN ? mRan : problem.ran();
-        if (answered || !mayRepeat(problem) || mAttempts >= MAX_ATTEMPTS || !mBudget.tryRetry()) {
+        if (problem.ran() != RunState.NOT_RUN) {
+            mRan = problem.ran();
+            mBroken++;
+        }
+        boolean spent = mAttempts >= MAX_ATTEMPTS || mBroken >= MAX_BROKEN;
+        if (answered || spent || !mayRepeat(problem) || !mBudget.tryRetry()) {
             return giveUp(problem);
         }
         Vm next = mCandidates.get(mNext++ % mCandidates.size());
--- a/server/src/main/java/org/fescuehollow/server/coordination/BrokenAttempts.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/BrokenAttempts.java
@@ -1,9 +1,10 @@
 package org.fescuehollow.server.coordination;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.LinkedHashSet;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
@@ -13,12 +14,14 @@
 /**
  * Attempts whose connection broke, held until it is known whether their server crashed.
  *
- * <p>Invariant: each attempt added is released once. Used on the node's loop.
+ * <p>Invariants: each attempt added is released once; an attempt counts for at most one crash,
+ * however late its break is noticed. Used on the node's loop.
  */
 final class BrokenAttempts {
     private final SuspectsService mSuspects;
     private final List<Runnable> mHeld = new ArrayList<>();
-    private final Set<Long> mDigests = new LinkedHashSet<>();
+    private final Map<String, Long> mDigests = new LinkedHashMap<>();
+    private final Set<String> mCounted = new HashSet<>();
     private boolean mServerLost;
 
     BrokenAttempts(SuspectsService suspects) {
@@ -26,15 +29,22 @@
     }
 
     /**
-     * Holds a broken attempt.
+     * Takes a broken attempt.
      *
+     * @param attempt the attempt
      * @param digest its call's digest
      * @param problem the break
      * @param release takes the problem with the count of crashes
+     * @return true if it is held until the server's state is known
      */
-    void add(long digest, Problem problem, Consumer<Problem> release) {
-        mDigests.add(digest);
+    boolean add(String attempt, long digest, Problem problem, Consumer<Problem> release) {
+        if (mCounted.remove(attempt)) {
+            release.accept(problem.withCrashes(countOf(digest)));
+            return false;
+        }
+        mDigests.put(attempt, digest);
         mHeld.add(() -> release.accept(problem.withCrashes(countOf(digest))));
+        return true;
     }
 
     private int countOf(long digest) {
@@ -43,7 +53,7 @@
     }
 
     boolean isEmpty() {
-        return mHeld.isEmpty() && mDigests.isEmpty();
+        return mDigests.isEmpty();
     }
 
     /** Takes that the server lives on: nothing crashed. */
@@ -53,9 +63,11 @@
     }
 
     /** Takes proof of a crash; requests that still seem to run there are suspects too. */
-    void crashed(Collection<Long> stillRunning) {
-        mDigests.addAll(stillRunning);
-        mSuspects.crashed(List.copyOf(mDigests));
+    void crashed(Map<String, Long> stillRunning) {
+        stillRunning.forEach(mDigests::putIfAbsent);
+        mCounted.clear();
+        mCounted.addAll(stillRunning.keySet());
+        mSuspects.crashed(List.copyOf(mDigests.values()));
         mDigests.clear();
         release();
     }
--- a/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
@@ -2,17 +2,19 @@
 
 import static org.fescuehollow.error.ShouldNotCrashBackends.shouldNotCrashBackends;
 
+import io.netty.channel.ConnectTimeoutException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
@@ -77,7 +79,7 @@
     /** Takes that the platform no longer lists the server: what broke with it has crashed it. */
     void serverGone() {
         if (!mBroken.isEmpty()) {
-            mBroken.crashed(List.of());
+            mBroken.crashed(Map.of());
         }
     }
 
@@ -113,7 +115,7 @@
                         call,
                         sink,
                         () -> ended(attempt),
-                        (problem, release) -> broke(digest, problem, release)));
+                        (problem, release) -> broke(attempt, digest, problem, release)));
         carryOut(mCoordinator.submit(now, work));
         return () -> cancel(attempt);
     }
@@ -131,9 +133,10 @@
         carryOut(mCoordinator.finished(now(), attempt));
     }
 
-    private void broke(long digest, Problem problem, Consumer<Problem> release) {
-        mBroken.add(digest, problem, release);
-        inspect();
+    private void broke(String attempt, long digest, Problem problem, Consumer<Problem> release) {
+        if (mBroken.add(attempt, digest, problem, release)) {
+            inspect();
+        }
     }
 
     private void carryOut(List<Order> orders) {
@@ -238,12 +241,11 @@
         }
     }
 
-    private List<Long> runningDigests() {
+    /** The attempts that seem to run, but for those already known to have broken. */
+    private Map<String, Long> runningDigests() {
         return mCoordinator.running().keySet().stream()
-                .map(mAttempts::get)
-                .filter(Objects::nonNull)
-                .map(a -> a.call().digest())
-                .toList();
+                .filter(mAttempts::containsKey)
+                .collect(Collectors.toMap(id -> id, id -> mAttempts.get(id).call().digest()));
     }
 
     private void notInspected(Throwable cause) {
@@ -255,7 +257,16 @@
                     Level.WARNING,
                     "backend server " + mServer.id() + " is silent: " + cause.getMessage());
         }
-        mBroken.silent();
+        if (isRefused(cause) && !mBroken.isEmpty()) {
+            mBroken.crashed(runningDigests());
+        } else {
+            mBroken.silent();
+        }
+    }
+
+    /** A machine that answers without a process on the port: the process has crashed. */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 
     Vm server() {
