Store permits: integer shares per node, lent one load at a time

Cause: a node's share of the loads in transit was rounded up to one, so nine nodes could exceed the store's eight; and an idle node's share was lost to the others. Change: PermitBank deals out whole units by rank and lends single permits between nodes; the lender counts a loan until it is returned or must have ended. A report counts only if it was asked for after the break. Ruled out: one budget holder per domain under a lease; a holder's death strands the share for the lease, and pooling needs a second round of leases between domains.

--- a/core/src/main/java/org/fescuehollow/placement/LoadBudget.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadBudget.java
@@ -1,7 +1,9 @@
 package org.fescuehollow.placement;
 
+import java.util.Optional;
+
 /**
- * Permission to load adapters from the weight store.
+ * Gives permits to load adapters from the weight store.
  *
  * <p>Implementations aren't safe for concurrent use.
  */
@@ -10,14 +12,15 @@
      * Takes a permit for one load, which counts as in transit until released.
      *
      * @param now the monotonic time in nanoseconds
-     * @return true if the load may begin now
+     * @return the permit, or empty if no load may begin now
      */
-    boolean tryTake(long now);
+    Optional<Permit> tryTake(long now);
 
     /**
-     * Tells that a load has ended, whether or not it succeeded.
+     * Gives a permit back; its load has ended or will not begin.
      *
      * @param now the monotonic time in nanoseconds
+     * @param permit the permit
      */
-    void release(long now);
+    void release(long now, Permit permit);
 }
--- a/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
@@ -26,6 +26,7 @@
     private final LoadBudget mBudget;
     private final LoadFailures mFailures;
     private final Map<AdapterRef, AdapterRef> mReplacing = new HashMap<>();
+    private final Map<AdapterRef, Permit> mPermits = new HashMap<>();
     private long mFencing;
     private long mEvictFromNanos;
 
@@ -49,7 +50,7 @@
 
     /** Takes a load's result; returns the number of failures in a row if it is given up. */
     OptionalInt loaded(long now, AdapterRef adapter, boolean ok) {
-        mBudget.release(now);
+        releaseFor(now, adapter);
         if (ok) {
             mSlots.find(adapter).ifPresent(s -> s.become(Slot.State.RESIDENT, now));
             mFailures.succeeded(adapter);
@@ -65,17 +66,30 @@
         AdapterRef next = mReplacing.remove(adapter);
         if (!ok) {
             mSlots.find(adapter).ifPresent(s -> s.become(Slot.State.RESIDENT, now));
-            mBudget.release(now);
+            releaseFor(now, next);
             return;
         }
         mSlots.remove(adapter);
         if (next == null || retired || mSlots.holds(next)) {
-            mBudget.release(now);
+            releaseFor(now, next);
         } else {
             load(now, next, orders);
         }
     }
 
+    private void releaseFor(long now, AdapterRef adapter) {
+        Permit permit = mPermits.remove(adapter);
+        if (permit != null) {
+            mBudget.release(now, permit);
+        }
+    }
+
+    private boolean takeFor(long now, AdapterRef adapter) {
+        Optional<Permit> permit = mBudget.tryTake(now);
+        permit.ifPresent(p -> mPermits.put(adapter, p));
+        return permit.isPresent();
+    }
+
     /** Begins the loads that waiting work deserves, the first in the queue first. */
     void plan(long now, List<Work> waiting, ServicePolicy policy, List<Order> orders) {
         Set<AdapterRef> waitedFor = new HashSet<>();
@@ -110,7 +124,7 @@
             int slots,
             List<Order> orders) {
         if (mSlots.size() < slots) {
-            if (!mBudget.tryTake(now)) {
+            if (!takeFor(now, adapter)) {
                 return false;
             }
             load(now, adapter, orders);
@@ -120,7 +134,7 @@
                 now < mEvictFromNanos
                         ? Optional.empty()
                         : mSlots.pickVictim(waitedFor::contains, now);
-        if (victim.isEmpty() || !mBudget.tryTake(now)) {
+        if (victim.isEmpty() || !takeFor(now, adapter)) {
             return false;
         }
         mSlots.find(victim.get()).orElseThrow().become(Slot.State.UNLOADING, now);
--- a/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
+++ b/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
@@ -28,7 +28,7 @@
     private final Set<AdapterRef> mResident = new TreeSet<>();
     private final Deque<Order> mPending = new ArrayDeque<>();
     private final List<String> mViolations = new ArrayList<>();
-    private final StoreBudget mBudget = new StoreBudget(0);
+    private final PermitBank mBudget = new PermitBank("n1", 0, 5_000_000_000L);
     private final EngineCoordinator mCoordinator;
     private final int mSlots;
     private final int mBatch;
@@ -39,7 +39,7 @@
     FakeEngine(int slots, int batch) {
         mSlots = slots;
         mBatch = batch;
-        mBudget.setShare(0, 20, 2);
+        mBudget.setShare(0, new StoreShare(20, 2));
         ServicePolicy policy =
                 new ServicePolicy(
                         "svc",
@@ -111,6 +111,7 @@
                 mResident.add(load.adapter());
             }
             check(mResident.size() <= mSlots, "more adapters than slots");
+            check(mBudget.out() <= 2, "more loads in transit than allowed");
             carryOut(mCoordinator.loaded(mNow, load.adapter(), ok));
         } else if (order instanceof Order.Unload unload) {
             carryOut(mCoordinator.unloaded(mNow, unload.adapter(), true));
--- a/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
+++ b/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
@@ -10,6 +10,7 @@
 import org.fescuehollow.server.admin.AdminService;
 import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.config.NodeConfig;
+import org.fescuehollow.server.coordination.BudgetService;
 import org.fescuehollow.server.coordination.CoordinationService;
 import org.fescuehollow.server.coordination.CoordinatorService;
 import org.fescuehollow.server.fleet.FleetService;
@@ -65,6 +66,7 @@
                         new PeerService(config, loop, incarnation),
                         new MembershipService(config, loop, metrics),
                         new SettingsSpreadService(config, loop, metrics),
+                        new BudgetService(config, loop),
                         new CoordinationService(config, loop, backends, metrics, incarnation),
                         new CoordinatorService(config),
                         new RoutingService(config, metrics),
--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
@@ -11,10 +11,8 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.model.VmRole;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.Eviction;
-import org.fescuehollow.placement.StoreBudget;
 import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -28,7 +26,6 @@
 import org.fescuehollow.server.settings.SettingsService;
 import org.fescuehollow.server.suspects.SuspectsService;
 import org.fescuehollow.settings.ServicePolicy;
-import org.fescuehollow.settings.StorePolicy;
 
 /**
  * Coordinates the backend servers that fall to this node.
@@ -50,7 +47,7 @@
     private final String mIncarnation;
     private final Map<String, ServerPost> mPosts = new TreeMap<>();
     private final List<ServerPost> mRetired = new ArrayList<>();
-    private final StoreBudget mBudget;
+    private BudgetService mBudget;
     private SettingsService mSettings;
     private FleetService mFleet;
     private PostContext mContext;
@@ -78,7 +75,6 @@
         mClient = client;
         mMetrics = metrics;
         mIncarnation = incarnation;
-        mBudget = new StoreBudget(loop.now());
     }
 
     @Override
@@ -90,6 +86,7 @@
     public void start(Kernel kernel) {
         mSettings = kernel.find(SettingsService.NAME, SettingsService.class);
         mFleet = kernel.find(FleetService.NAME, FleetService.class);
+        mBudget = kernel.find(BudgetService.NAME, BudgetService.class);
         mContext =
                 new PostContext(
                         mClient,
@@ -119,12 +116,6 @@
         if (mDraining) {
             return;
         }
-        StorePolicy store = mSettings.view().store();
-        double share = store.shareOf(mConfig.domain()) / nodesInDomain();
-        mBudget.setShare(
-                mLoop.now(),
-                store.loadsPerSecond() * share,
-                Math.max(1, Math.floor(store.inTransit() * share)));
         Map<String, Vm> mine = new TreeMap<>();
         mFleet.view().coordinatedBy(mConfig.nodeId()).stream()
                 .filter(vm -> mSettings.view().service(vm.service()).isPresent())
@@ -134,14 +125,6 @@
         mine.values().forEach(this::keep);
     }
 
-    private int nodesInDomain() {
-        long nodes =
-                mFleet.view().vms().withRole(VmRole.ENTRY).stream()
-                        .filter(vm -> vm.domain().equals(mConfig.domain()))
-                        .count();
-        return (int) Math.max(1, nodes);
-    }
-
     private void giveUp(String server) {
         ServerPost post = mPosts.remove(server);
         mRetired.add(post);
@@ -165,7 +148,7 @@
                         mConfig.nodeId() + "/" + mIncarnation,
                         policy,
                         Eviction.LEAST_FREQUENT_AGED,
-                        mBudget);
+                        mBudget.bank());
         ServerPost created = new ServerPost(server, coordinator, mContext);
         mPosts.put(server.id(), created);
         mMetrics.event("coordination_taken");
@@ -238,7 +221,6 @@
     public Object dump() {
         SortedMap<String, Object> out = new TreeMap<>();
         mPosts.forEach((id, post) -> out.put(id, post.dump()));
-        out.put("loads_in_transit", mBudget.inTransit());
         out.put("given_up_still_running", mRetired.size());
         return out;
     }
--- a/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
@@ -39,6 +39,8 @@
  */
 final class ServerPost {
     private static final Logger LOG = System.getLogger(ServerPost.class.getName());
+    private static final int MAX_SILENCES = 4;
+    private static final long SILENCE_MILLIS = 20;
 
     private final Vm mServer;
     private final EngineCoordinator mCoordinator;
@@ -47,6 +49,8 @@
     private final BrokenAttempts mBroken;
     private String mIncarnation = "";
     private boolean mInspecting;
+    private boolean mBrokeSinceAsked;
+    private int mSilences;
     private boolean mDown;
 
     ServerPost(Vm server, EngineCoordinator coordinator, PostContext context) {
@@ -135,6 +139,7 @@
 
     private void broke(String attempt, long digest, Problem problem, Consumer<Problem> release) {
         if (mBroken.add(attempt, digest, problem, release)) {
+            mBrokeSinceAsked = mInspecting;
             inspect();
         }
     }
@@ -231,11 +236,15 @@
         boolean restarted = !mIncarnation.isEmpty() && !mIncarnation.equals(report.incarnation());
         mIncarnation = report.incarnation();
         carryOut(mCoordinator.reported(now(), report));
+        mSilences = 0;
         if (mBroken.isEmpty()) {
             return;
         }
         if (restarted) {
             mBroken.crashed(runningDigests());
+        } else if (mBrokeSinceAsked) {
+            mBrokeSinceAsked = false;
+            inspect();
         } else {
             mBroken.survived();
         }
@@ -257,8 +266,13 @@
                     Level.WARNING,
                     "backend server " + mServer.id() + " is silent: " + cause.getMessage());
         }
-        if (isRefused(cause) && !mBroken.isEmpty()) {
+        if (mBroken.isEmpty()) {
+            return;
+        }
+        if (isRefused(cause)) {
             mBroken.crashed(runningDigests());
+        } else if (++mSilences <= MAX_SILENCES) {
+            mContext.loop().after(SILENCE_MILLIS, this::inspect);
         } else {
             mBroken.silent();
         }
