Policy benchmark: real decisions in virtual time beside simpler ways and a clairvoyant bound

Cause: stalls and batches are what users measure, and nothing measured them. Change: bench policy runs coordinators, banks and candidate ranking against small fakes of engines and store; baselines and Belady's bound run on the same requests.

--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/FakeEngine.java
@@ -0,0 +1,141 @@
+package org.fescuehollow.bench.policy;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fescuehollow.placement.EngineCoordinator;
+import org.fescuehollow.placement.EngineReport;
+import org.fescuehollow.placement.Order;
+import org.fescuehollow.placement.Work;
+
+/** One engine in virtual time and its real coordinator. Not safe for concurrent use. */
+final class FakeEngine {
+    private static final long UNLOAD_NANOS = Duration.ofMillis(5).toNanos();
+    private static final String SERVICE_LIFE = "life";
+
+    private final EngineCoordinator mCoordinator;
+    private final Timeline mTimeline;
+    private final FakeStore mStore;
+    private final Recorder mRecorder;
+    private final Consumer<Submitted> mOnRedirect;
+    private final Map<String, Submitted> mWaiting = new HashMap<>();
+    private final Set<String> mRunning = new HashSet<>();
+    private int mLife;
+    private long mCountedNanos;
+
+    /** A request and the engines that it may try. */
+    record Submitted(Request request, List<Integer> order, int tried) {}
+
+    FakeEngine(
+            EngineCoordinator coordinator,
+            Timeline timeline,
+            FakeStore store,
+            Recorder recorder,
+            Consumer<Submitted> onRedirect) {
+        mCoordinator = coordinator;
+        mTimeline = timeline;
+        mStore = store;
+        mRecorder = recorder;
+        mOnRedirect = onRedirect;
+    }
+
+    void begin() {
+        mCoordinator.begin(mTimeline.now(), 0);
+        report();
+    }
+
+    void restart() {
+        mLife++;
+        count();
+        List<String> lost = List.copyOf(mRunning);
+        mRunning.clear();
+        report();
+        lost.forEach(id -> carryOut(mCoordinator.finished(mTimeline.now(), id)));
+    }
+
+    private void report() {
+        carryOut(
+                mCoordinator.reported(
+                        mTimeline.now(),
+                        new EngineReport(SERVICE_LIFE + mLife, new TreeMap<>(), 0)));
+    }
+
+    int requests() {
+        return mRunning.size() + mWaiting.size();
+    }
+
+    void submit(Request r, List<Integer> order, int tried, boolean mayRedirect) {
+        String id = "r" + r.number();
+        mWaiting.put(id, new Submitted(r, order, tried));
+        long deadline =
+                r.arrivalNanos() + Duration.ofMillis(r.priority().patienceMillis()).toNanos();
+        Work work =
+                new Work(
+                        id,
+                        "t" + r.team(),
+                        1,
+                        r.priority(),
+                        Optional.of(r.adapter()),
+                        r.arrivalNanos(),
+                        deadline,
+                        mayRedirect,
+                        false);
+        carryOut(mCoordinator.submit(mTimeline.now(), work));
+    }
+
+    void tick() {
+        if (!mWaiting.isEmpty()) {
+            carryOut(mCoordinator.tick(mTimeline.now()));
+        }
+    }
+
+    private void carryOut(List<Order> orders) {
+        orders.forEach(this::carryOut);
+    }
+
+    private void carryOut(Order order) {
+        if (order instanceof Order.Load load) {
+            mStore.load(() -> carryOut(mCoordinator.loaded(mTimeline.now(), load.adapter(), true)));
+        } else if (order instanceof Order.Unload unload) {
+            mTimeline.after(
+                    UNLOAD_NANOS,
+                    () -> carryOut(mCoordinator.unloaded(mTimeline.now(), unload.adapter(), true)));
+        } else if (order instanceof Order.Start start) {
+            start(start);
+        } else if (order instanceof Order.Refuse refuse) {
+            mWaiting.remove(refuse.work().attempt());
+            mRecorder.refused();
+        } else if (order instanceof Order.Redirect redirect) {
+            mOnRedirect.accept(mWaiting.remove(redirect.work().attempt()));
+        }
+    }
+
+    private void start(Order.Start start) {
+        String id = start.work().attempt();
+        Request r = mWaiting.remove(id).request();
+        count();
+        mRunning.add(id);
+        mRecorder.started(r, mTimeline.now(), start.stalled());
+        int life = mLife;
+        mTimeline.after(r.serviceNanos(), () -> ended(id, life));
+    }
+
+    private void ended(String id, int life) {
+        if (life == mLife) {
+            count();
+            mRunning.remove(id);
+            carryOut(mCoordinator.finished(mTimeline.now(), id));
+        }
+    }
+
+    private void count() {
+        mRecorder.ran(mRunning.size(), mTimeline.now() - mCountedNanos);
+        mCountedNanos = mTimeline.now();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/FakeFleet.java
@@ -0,0 +1,203 @@
+package org.fescuehollow.bench.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.fescuehollow.model.Vm;
+import org.fescuehollow.model.VmRole;
+import org.fescuehollow.model.VmState;
+import org.fescuehollow.placement.EngineCoordinator;
+import org.fescuehollow.placement.Permit;
+import org.fescuehollow.placement.PermitBank;
+import org.fescuehollow.placement.StoreShare;
+import org.fescuehollow.routing.CandidateTable;
+import org.fescuehollow.settings.FencingSupport;
+import org.fescuehollow.settings.ServicePolicy;
+import org.fescuehollow.settings.StorePolicy;
+
+/**
+ * Engines, nodes and store in virtual time, driven by the real decisions.
+ *
+ * <p>Each engine has a real coordinator, each node a real permit bank; loans pass between banks
+ * without delay. Not safe for concurrent use.
+ */
+final class FakeFleet {
+    private static final long TICK_NANOS = Duration.ofMillis(20).toNanos();
+    private static final long LOAD_LIMIT_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private final Scenario mScenario;
+    private final Routing mRouting;
+    private final Timeline mTimeline = new Timeline();
+    private final FakeStore mStore;
+    private final Recorder mRecorder = new Recorder();
+    private final List<PermitBank> mBanks = new ArrayList<>();
+    private final List<FakeEngine> mEngines = new ArrayList<>();
+    private final List<Vm> mVms = new ArrayList<>();
+    private final Map<Set<Integer>, CandidateTable> mTables = new HashMap<>();
+    private final UniformRandomProvider mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
+    private int mCutDomain = -1;
+
+    FakeFleet(Scenario scenario, Routing routing) {
+        mScenario = scenario;
+        mRouting = routing;
+        mStore = new FakeStore(mTimeline, scenario.inTransit());
+        addBanks();
+        addEngines();
+    }
+
+    private void addBanks() {
+        Map<String, Double> shares = new TreeMap<>();
+        for (int d = 0; d < mScenario.domains(); d++) {
+            shares.put("d" + d, 1.0 / mScenario.domains());
+        }
+        StorePolicy policy =
+                new StorePolicy(mScenario.loadsPerSecond(), mScenario.inTransit(), shares);
+        for (int n = 0; n < mScenario.nodes(); n++) {
+            PermitBank bank = new PermitBank("n" + n, 0, LOAD_LIMIT_NANOS);
+            String domain = "d" + n % mScenario.domains();
+            bank.setShare(
+                    0, StoreShare.of(policy, "n" + n, domain, nodesOf(n % mScenario.domains())));
+            mBanks.add(bank);
+        }
+    }
+
+    private SortedSet<String> nodesOf(int domain) {
+        return IntStream.range(0, mScenario.nodes())
+                .filter(n -> n % mScenario.domains() == domain)
+                .mapToObj(n -> "n" + n)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private void addEngines() {
+        ServicePolicy policy =
+                new ServicePolicy(
+                        "svc",
+                        true,
+                        mScenario.slots(),
+                        mScenario.batch(),
+                        256,
+                        mScenario.weighting(),
+                        FencingSupport.CHECKED);
+        for (int e = 0; e < mScenario.engines(); e++) {
+            int domain = e % mScenario.domains();
+            int nodesThere = nodesOf(domain).size();
+            int node = domain + mScenario.domains() * (e / mScenario.domains() % nodesThere);
+            EngineCoordinator coordinator =
+                    new EngineCoordinator(
+                            "e" + e, "n" + node, policy, mRouting.eviction(), mBanks.get(node));
+            mEngines.add(new FakeEngine(coordinator, mTimeline, mStore, mRecorder, this::redirect));
+            mVms.add(
+                    new Vm(
+                            "e" + e,
+                            VmRole.ENGINE,
+                            "svc",
+                            "d" + domain,
+                            "127.0.0.1",
+                            e,
+                            VmState.LIVE));
+        }
+    }
+
+    PolicyResult run(List<Request> requests, Set<Event> events) {
+        mEngines.forEach(FakeEngine::begin);
+        requests.forEach(r -> mTimeline.at(r.arrivalNanos(), () -> arrive(r)));
+        long end = Duration.ofSeconds(mScenario.seconds()).toNanos();
+        if (events.contains(Event.ENGINE_RESTART)) {
+            mTimeline.at(end / 3, () -> mEngines.get(0).restart());
+        }
+        if (events.contains(Event.DOMAIN_CUT)) {
+            mTimeline.at(end / 2, () -> mCutDomain = 0);
+            mTimeline.at(end * 2 / 3, () -> mCutDomain = -1);
+        }
+        tickForever();
+        mTimeline.runUntil(end + Duration.ofSeconds(60).toNanos());
+        return mRecorder.result(
+                mRouting.name().toLowerCase(Locale.ROOT),
+                requests.size(),
+                mStore,
+                mScenario.batch());
+    }
+
+    private void tickForever() {
+        mTimeline.after(
+                TICK_NANOS,
+                () -> {
+                    mEngines.forEach(FakeEngine::tick);
+                    lendPermits();
+                    tickForever();
+                });
+    }
+
+    private void lendPermits() {
+        long now = mTimeline.now();
+        for (int i = 0; i < mBanks.size(); i++) {
+            PermitBank bank = mBanks.get(i);
+            bank.takeReturns(now).forEach(p -> ownerOf(p).returned(p.number()));
+            if (bank.isWanting(now)) {
+                for (int tries = 0; tries < 2; tries++) {
+                    int other = mRandom.nextInt(mBanks.size());
+                    if (isReachable(domainOfNode(i), domainOfNode(other)) && other != i) {
+                        mBanks.get(other).lend(now).ifPresent(p -> bank.borrowed(now, p));
+                    }
+                }
+            }
+        }
+    }
+
+    private PermitBank ownerOf(Permit permit) {
+        return mBanks.get(Integer.parseInt(permit.owner().substring(1)));
+    }
+
+    private int domainOfNode(int node) {
+        return node % mScenario.domains();
+    }
+
+    private boolean isReachable(int from, int to) {
+        return from == to || (from != mCutDomain && to != mCutDomain);
+    }
+
+    private void arrive(Request r) {
+        Set<Integer> domains =
+                IntStream.range(0, mScenario.domains())
+                        .filter(d -> isReachable(r.domain(), d))
+                        .boxed()
+                        .collect(Collectors.toSet());
+        CandidateTable table = mTables.computeIfAbsent(domains, this::tableOf);
+        List<Integer> reachable = table.engines().stream().map(Vm::port).toList();
+        List<Integer> ranked = table.candidates(r.adapter()).stream().map(Vm::port).toList();
+        List<Integer> order =
+                mRouting.order(
+                        new Routing.Choice(
+                                reachable, ranked, e -> mEngines.get(e).requests(), mRandom));
+        submit(r, order, 0);
+    }
+
+    private CandidateTable tableOf(Set<Integer> domains) {
+        return new CandidateTable(
+                mVms.stream()
+                        .filter(vm -> domains.contains(Integer.parseInt(vm.domain().substring(1))))
+                        .toList());
+    }
+
+    private void submit(Request r, List<Integer> order, int tried) {
+        boolean insists = tried >= order.size();
+        int engine = order.get(insists ? 0 : tried);
+        boolean mayRedirect = !insists && order.size() > 1;
+        mEngines.get(engine).submit(r, order, tried, mayRedirect);
+    }
+
+    private void redirect(FakeEngine.Submitted s) {
+        submit(s.request(), s.order(), s.tried() + 1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/PolicyBench.java
@@ -0,0 +1,105 @@
+package org.fescuehollow.bench.policy;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Runs the policy under load in virtual time and compares it with simpler ways in the same run.
+ *
+ * <p>Used from one thread.
+ */
+public final class PolicyBench {
+    private static final long SEED = 20_261_204;
+
+    private final PrintStream mOut;
+
+    /**
+     * Creates the benchmark.
+     *
+     * @param out where tables go
+     */
+    public PolicyBench(PrintStream out) {
+        mOut = out;
+    }
+
+    /**
+     * Runs one scenario with all ways of routing.
+     *
+     * @param s the scenario
+     * @param events what happens
+     * @return the results, the bound last
+     */
+    public List<PolicyResult> run(Scenario s, Set<Event> events) {
+        List<Request> requests = Workload.draw(s, events, SEED);
+        List<PolicyResult> results = new ArrayList<>();
+        for (Routing routing : Routing.values()) {
+            results.add(new FakeFleet(s, routing).run(requests, events));
+        }
+        results.add(bound(requests, s));
+        print(s, events, results);
+        return results;
+    }
+
+    /**
+     * Runs one scenario with this project's way of routing.
+     *
+     * @param s the scenario
+     * @param events what happens
+     * @return the result
+     */
+    public PolicyResult runOwn(Scenario s, Set<Event> events) {
+        return new FakeFleet(s, Routing.FESCUEHOLLOW).run(Workload.draw(s, events, SEED), events);
+    }
+
+    private static PolicyResult bound(List<Request> requests, Scenario s) {
+        long loads = Clairvoyant.loads(requests, s.engines() * s.slots());
+        return new PolicyResult("clairvoyant", requests.size(), 0, 0, 0, 0, loads, 0, 0, 0, 0, 0);
+    }
+
+    private void print(Scenario s, Set<Event> events, List<PolicyResult> results) {
+        mOut.printf("%n%s, %d s, events %s%n", s.name(), s.seconds(), events);
+        printRow(PolicyResult.COLUMNS);
+        results.forEach(r -> printRow(r.cells()));
+        mOut.flush();
+    }
+
+    private void printRow(List<String> cells) {
+        mOut.println(
+                cells.stream()
+                        .map(c -> String.format("%-13s", c))
+                        .collect(Collectors.joining(" ")));
+    }
+
+    /** Runs everything: both deployments, the two-year size, a flood, letters, and a cut. */
+    public void runAll() {
+        Set<Event> usual = EnumSet.of(Event.SHIFT, Event.ENGINE_RESTART);
+        for (Scenario s : List.of(Scenario.CONSORTIUM, Scenario.ASSOCIATION)) {
+            run(s, usual);
+            run(s, EnumSet.of(Event.DOMAIN_CUT));
+            flood(s);
+        }
+        letters();
+        run(Scenario.TWO_YEARS, usual);
+    }
+
+    private void flood(Scenario s) {
+        PolicyResult calm = runOwn(s, EnumSet.noneOf(Event.class));
+        PolicyResult flood = runOwn(s, EnumSet.of(Event.FLOOD));
+        mOut.printf(
+                "%n%s, one team sends ten times its share: rivals' p99 %.1f ms, without %.1f ms%n",
+                s.name(), flood.rivalP99Millis(), calm.rivalP99Millis());
+    }
+
+    private void letters() {
+        PolicyResult without = runOwn(Scenario.ASSOCIATION.withBulkShare(0), Set.of());
+        PolicyResult with = runOwn(Scenario.ASSOCIATION, Set.of());
+        mOut.printf(
+                "%nassociation, letters beside counter checks: interactive p99 %.1f ms,"
+                        + " without letters %.1f ms%n",
+                with.interactiveP99Millis(), without.interactiveP99Millis());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/PolicyResult.java
@@ -0,0 +1,77 @@
+package org.fescuehollow.bench.policy;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The figures of one run.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param routing the way of routing, or the bound's name
+ * @param requests requests that arrived
+ * @param stalledShare share of started requests that waited for a load
+ * @param p50Millis median wait for the start
+ * @param p95Millis 95th percentile
+ * @param p99Millis 99th percentile
+ * @param loads loads begun
+ * @param batchFill mean fill of the batches of busy engines, from zero to one
+ * @param refused requests refused
+ * @param mostInTransit most loads in transit at once
+ * @param rivalP99Millis 99th percentile of the wait of all teams but the first
+ * @param interactiveP99Millis 99th percentile of the wait of interactive requests
+ */
+public record PolicyResult(
+        String routing,
+        int requests,
+        double stalledShare,
+        double p50Millis,
+        double p95Millis,
+        double p99Millis,
+        long loads,
+        double batchFill,
+        int refused,
+        int mostInTransit,
+        double rivalP99Millis,
+        double interactiveP99Millis) {
+    /** Head of a table or CSV file. */
+    public static final List<String> COLUMNS =
+            List.of(
+                    "routing",
+                    "requests",
+                    "stalled",
+                    "p50_ms",
+                    "p95_ms",
+                    "p99_ms",
+                    "loads",
+                    "batch_fill",
+                    "refused",
+                    "in_transit",
+                    "rival_p99_ms",
+                    "interactive_p99_ms");
+
+    /**
+     * Returns the figures as texts.
+     *
+     * @return one text for each column
+     */
+    public List<String> cells() {
+        return List.of(
+                routing,
+                "" + requests,
+                format(100 * stalledShare) + "%",
+                format(p50Millis),
+                format(p95Millis),
+                format(p99Millis),
+                "" + loads,
+                format(100 * batchFill) + "%",
+                "" + refused,
+                "" + mostInTransit,
+                format(rivalP99Millis),
+                format(interactiveP99Millis));
+    }
+
+    private static String format(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/Routing.java
@@ -0,0 +1,72 @@
+package org.fescuehollow.bench.policy;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToIntFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.fescuehollow.placement.Eviction;
+
+/**
+ * Ways to choose the engine of a request.
+ *
+ * <p>Immutable and safe for use by any thread; the random numbers come from the caller.
+ */
+public enum Routing {
+    /** Any engine. */
+    RANDOM(Eviction.LEAST_RECENT) {
+        @Override
+        List<Integer> order(Choice c) {
+            return List.of(c.reachable().get(c.random().nextInt(c.reachable().size())));
+        }
+    },
+    /** The engine with the fewest requests. */
+    LEAST_LOADED(Eviction.LEAST_RECENT) {
+        @Override
+        List<Integer> order(Choice c) {
+            return List.of(
+                    c.reachable().stream()
+                            .min(Comparator.comparingInt(c.load()::applyAsInt))
+                            .orElseThrow());
+        }
+    },
+    /** The adapter's first engine by hashing, whatever its load. */
+    HASHED(Eviction.LEAST_RECENT) {
+        @Override
+        List<Integer> order(Choice c) {
+            return c.ranked().subList(0, 1);
+        }
+    },
+    /** This project's: ranked engines that may decline, the first again in the end. */
+    FESCUEHOLLOW(Eviction.LEAST_FREQUENT_AGED) {
+        @Override
+        List<Integer> order(Choice c) {
+            return c.ranked();
+        }
+    };
+
+    private final Eviction mEviction;
+
+    Routing(Eviction eviction) {
+        mEviction = eviction;
+    }
+
+    /**
+     * What a choice rests on.
+     *
+     * @param reachable engines that can be reached
+     * @param ranked engines ranked for the adapter
+     * @param load requests on an engine
+     * @param random random numbers
+     */
+    record Choice(
+            List<Integer> reachable,
+            List<Integer> ranked,
+            ToIntFunction<Integer> load,
+            UniformRandomProvider random) {}
+
+    abstract List<Integer> order(Choice choice);
+
+    Eviction eviction() {
+        return mEviction;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/Workload.java
@@ -0,0 +1,74 @@
+package org.fescuehollow.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.model.Priority;
+
+/** Draws the requests of a scenario from a seed. Stateless and safe for use by any thread. */
+public final class Workload {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int SHIFTED_BY = 1_237;
+    private static final int FLOOD_FACTOR = 10;
+
+    private Workload() {}
+
+    /**
+     * Draws all requests.
+     *
+     * @param s the scenario
+     * @param events what happens
+     * @param seed the seed; the same seed gives the same requests
+     * @return requests in order of arrival
+     */
+    public static List<Request> draw(Scenario s, Set<Event> events, long seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        DiscreteSampler popularity =
+                RejectionInversionZipfSampler.of(random, s.adapters(), s.zipf());
+        List<AdapterRef> names =
+                IntStream.range(0, s.adapters())
+                        .mapToObj(i -> new AdapterRef("a" + i, "v1"))
+                        .toList();
+        List<Request> requests = new ArrayList<>();
+        double end = s.seconds() * NANOS_PER_SECOND;
+        double time = exponential(random, NANOS_PER_SECOND / s.requestsPerSecond());
+        while (time < end) {
+            int rank = popularity.sample() - 1;
+            boolean shifted = events.contains(Event.SHIFT) && time > end / 2;
+            int adapter = shifted ? (rank + SHIFTED_BY) % s.adapters() : rank;
+            int copies = copies(s, events, adapter, time > end / 3);
+            for (int i = 0; i < copies; i++) {
+                requests.add(
+                        new Request(
+                                requests.size(),
+                                (long) time,
+                                names.get(adapter),
+                                adapter % s.teams(),
+                                priority(random, s),
+                                (long) exponential(random, s.serviceMillis() * 1e6),
+                                random.nextInt(s.domains())));
+            }
+            time += exponential(random, NANOS_PER_SECOND / s.requestsPerSecond());
+        }
+        return requests;
+    }
+
+    private static int copies(Scenario s, Set<Event> events, int adapter, boolean late) {
+        boolean floods = events.contains(Event.FLOOD) && late && adapter % s.teams() == 0;
+        return floods ? FLOOD_FACTOR : 1;
+    }
+
+    private static Priority priority(UniformRandomProvider random, Scenario s) {
+        return random.nextDouble() < s.bulkShare() ? Priority.BULK : Priority.INTERACTIVE;
+    }
+
+    private static double exponential(UniformRandomProvider random, double mean) {
+        return -Math.log(1 - random.nextDouble()) * mean;
+    }
+}
--- a/cli/src/main/java/org/fescuehollow/cli/Command.java
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -5,6 +5,7 @@
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fescuehollow.bench.policy.PolicyBench;
 
 /** The commands of the command line. Immutable and safe for use by any thread. */
 enum Command {
@@ -46,6 +47,19 @@
             return new DemoCommand(out).run(o.getBoolean("once"));
         }
     },
+    /** Measures the policy. */
+    BENCH("bench", "measure the policy under load in virtual time") {
+        @Override
+        void configure(Subparser p) {
+            p.addArgument("what").choices("policy").help("what to measure");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            new PolicyBench(out).runAll();
+            return 0;
+        }
+    },
     /** Prints a process's state. */
     DUMP("dump", "print the state of a running process as JSON") {
         @Override
