--- a/bench/src/main/java/org/fescuehollow/bench/policy/FakeEngine.java
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/FakeEngine.java
@@ -8,11 +8,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.EngineReport;
 import org.fescuehollow.placement.Order;
 import org.fescuehollow.placement.Work;
+import org.fescuehollow.routing.AttemptPlan;
 
 /** One engine in virtual time and its real coordinator. Not safe for concurrent use. */
 final class FakeEngine {
@@ -23,26 +24,31 @@
     private final Timeline mTimeline;
     private final FakeStore mStore;
     private final Recorder mRecorder;
-    private final Consumer<Submitted> mOnRedirect;
+    private final Next mNext;
     private final Map<String, Submitted> mWaiting = new HashMap<>();
     private final Set<String> mRunning = new HashSet<>();
     private int mLife;
     private long mCountedNanos;
 
-    /** A request and the engines that it may try. */
-    record Submitted(Request request, List<Integer> order, int tried) {}
+    /** A request and the plan of its attempts. */
+    record Submitted(Request request, AttemptPlan plan) {}
+
+    /** Takes the next step of a request. */
+    interface Next {
+        void follow(Request request, AttemptPlan plan, AttemptPlan.Step step);
+    }
 
     FakeEngine(
             EngineCoordinator coordinator,
             Timeline timeline,
             FakeStore store,
             Recorder recorder,
-            Consumer<Submitted> onRedirect) {
+            Next next) {
         mCoordinator = coordinator;
         mTimeline = timeline;
         mStore = store;
         mRecorder = recorder;
-        mOnRedirect = onRedirect;
+        mNext = next;
     }
 
     void begin() {
@@ -70,9 +76,9 @@
         return mRunning.size() + mWaiting.size();
     }
 
-    void submit(Request r, List<Integer> order, int tried, boolean mayRedirect) {
+    void submit(Request r, AttemptPlan plan, Ask ask) {
         String id = "r" + r.number();
-        mWaiting.put(id, new Submitted(r, order, tried));
+        mWaiting.put(id, new Submitted(r, plan));
         long deadline =
                 r.arrivalNanos() + Duration.ofMillis(r.priority().patienceMillis()).toNanos();
         Work work =
@@ -84,7 +90,7 @@
                         Optional.of(r.adapter()),
                         r.arrivalNanos(),
                         deadline,
-                        mayRedirect,
+                        ask,
                         false);
         carryOut(mCoordinator.submit(mTimeline.now(), work));
     }
@@ -109,10 +115,11 @@
         } else if (order instanceof Order.Start start) {
             start(start);
         } else if (order instanceof Order.Refuse refuse) {
-            mWaiting.remove(refuse.work().attempt());
-            mRecorder.refused();
-        } else if (order instanceof Order.Redirect redirect) {
-            mOnRedirect.accept(mWaiting.remove(redirect.work().attempt()));
+            Submitted s = mWaiting.remove(refuse.work().attempt());
+            mNext.follow(s.request(), s.plan(), s.plan().failed(refuse.problem(), false));
+        } else if (order instanceof Order.Decline decline) {
+            Submitted s = mWaiting.remove(decline.work().attempt());
+            mNext.follow(s.request(), s.plan(), s.plan().declined(decline.quote()));
         }
     }
 
--- a/bench/src/main/java/org/fescuehollow/bench/policy/Routing.java
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/Routing.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.ToIntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.fescuehollow.model.Vm;
 import org.fescuehollow.placement.Eviction;
 
 /**
@@ -15,14 +16,14 @@
     /** Any engine. */
     RANDOM(Eviction.LEAST_RECENT) {
         @Override
-        List<Integer> order(Choice c) {
+        List<Vm> order(Choice c) {
             return List.of(c.reachable().get(c.random().nextInt(c.reachable().size())));
         }
     },
     /** The engine with the fewest requests. */
     LEAST_LOADED(Eviction.LEAST_RECENT) {
         @Override
-        List<Integer> order(Choice c) {
+        List<Vm> order(Choice c) {
             return List.of(
                     c.reachable().stream()
                             .min(Comparator.comparingInt(c.load()::applyAsInt))
@@ -32,14 +33,14 @@
     /** The adapter's first engine by hashing, whatever its load. */
     HASHED(Eviction.LEAST_RECENT) {
         @Override
-        List<Integer> order(Choice c) {
+        List<Vm> order(Choice c) {
             return c.ranked().subList(0, 1);
         }
     },
     /** This project's: ranked engines that may decline, the first again in the end. */
     FESCUEHOLLOW(Eviction.LEAST_FREQUENT_AGED) {
         @Override
-        List<Integer> order(Choice c) {
+        List<Vm> order(Choice c) {
             return c.ranked();
         }
     };
@@ -59,12 +60,12 @@
      * @param random random numbers
      */
     record Choice(
-            List<Integer> reachable,
-            List<Integer> ranked,
-            ToIntFunction<Integer> load,
+            List<Vm> reachable,
+            List<Vm> ranked,
+            ToIntFunction<Vm> load,
             UniformRandomProvider random) {}
 
-    abstract List<Integer> order(Choice choice);
+    abstract List<Vm> order(Choice choice);
 
     Eviction eviction() {
         return mEviction;
--- a/cli/src/main/java/org/fescuehollow/cli/Command.java
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -52,11 +52,20 @@
         @Override
         void configure(Subparser p) {
             p.addArgument("what").choices("policy").help("what to measure");
+            p.addArgument("--size")
+                    .choices("today", "all")
+                    .setDefault("today")
+                    .help("both deployments of today, or the size in two years as well");
         }
 
         @Override
         int run(Namespace o, PrintStream out, PrintStream err) {
-            new PolicyBench(out).runAll();
+            PolicyBench bench = new PolicyBench(out);
+            if (o.getString("size").equals("all")) {
+                bench.runAll();
+            } else {
+                bench.runToday();
+            }
             return 0;
         }
     },
--- a/core/src/main/java/org/fescuehollow/error/ErrorCode.java
+++ b/core/src/main/java/org/fescuehollow/error/ErrorCode.java
@@ -30,6 +30,8 @@
     DEADLINE_PASSED(504),
     /** The adapter could not be loaded. */
     LOAD_FAILED(503),
+    /** The engine does not hold the adapter that it was thought to hold. */
+    ADAPTER_MISSING(503),
     /** The backend server failed before or while answering. */
     BACKEND_FAILED(502),
     /** The answer broke off. */
--- a/core/src/main/java/org/fescuehollow/error/ShouldLoadAdapter.java
+++ b/core/src/main/java/org/fescuehollow/error/ShouldLoadAdapter.java
@@ -6,6 +6,21 @@
 public final class ShouldLoadAdapter {
     private ShouldLoadAdapter() {}
 
+    /**
+     * Creates the problem of an engine that has lost an adapter.
+     *
+     * @param adapter the adapter and version
+     * @return the problem
+     */
+    public static Problem shouldHoldAdapter(String adapter) {
+        return Problem.of(
+                        ErrorCode.ADAPTER_MISSING,
+                        RunState.NOT_RUN,
+                        "expected the engine to hold adapter " + adapter + ", it has lost it",
+                        "send again")
+                .retryAfter(1);
+    }
+
     /**
      * Creates the problem.
      *
--- a/core/src/main/java/org/fescuehollow/routing/Rendezvous.java
+++ b/core/src/main/java/org/fescuehollow/hashing/Rendezvous.java
@@ -1,4 +1,4 @@
-package org.fescuehollow.routing;
+package org.fescuehollow.hashing;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
--- a/core/src/main/java/org/fescuehollow/membership/Membership.java
+++ b/core/src/main/java/org/fescuehollow/membership/Membership.java
@@ -15,7 +15,7 @@
 import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * Knows which entry nodes are alive, at a cost that doesn't grow with their number.
--- a/core/src/main/java/org/fescuehollow/membership/ProbeOrder.java
+++ b/core/src/main/java/org/fescuehollow/membership/ProbeOrder.java
@@ -5,7 +5,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.Optional;
-import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * Goes through names in a shuffled order, each once before any comes again.
--- a/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
+++ b/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
@@ -21,7 +21,6 @@
 import org.fescuehollow.admission.FairQueue;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
-import org.fescuehollow.routing.Rendezvous;
 import org.fescuehollow.settings.FencingSupport;
 import org.fescuehollow.settings.ServicePolicy;
 
@@ -36,7 +35,7 @@
  *
  * <p>Invariants: an adapter with a running attempt is never unloaded; an attempt starts only while
  * its adapter is resident, and at most once; running attempts never exceed the batch, and no two of
- * them are suspects; each attempt submitted gets exactly one of start, refuse, redirect, or is
+ * them are suspects; each attempt submitted gets exactly one of start, refuse, decline, or is
  * cancelled. A coordinator decides nothing about adapters before the engine's first report, and
  * evicts nothing before its quiet period has passed. Not safe for concurrent use.
  */
@@ -44,11 +43,8 @@
     /** How old a slot's last change must be before a late report may contradict it. */
     public static final Duration REPORT_LAG = Duration.ofSeconds(10);
 
-    /** How long a coordinator that was fenced off leaves the engine to the other one. */
-    public static final Duration SUPERSEDED = Duration.ofSeconds(30);
-
     private final String mServer;
-    private final String mNode;
+    private final Reign mReign;
     private final SlotTable mSlots;
     private final LoadPlanner mLoads;
     private final FairQueue<Work> mQueue = new FairQueue<>();
@@ -56,12 +52,6 @@
     private final Set<String> mStalled = new HashSet<>();
     private final ServiceTime mServiceTime = new ServiceTime();
     private ServicePolicy mPolicy;
-    private String mIncarnation = "";
-    private long mQuietNanos;
-    private boolean mSuperseded;
-    private long mSupersededNanos;
-    private boolean mKnown;
-    private boolean mRetired;
 
     /** An attempt on the backend server. */
     private record Running(Work work, long startedNanos) {}
@@ -82,11 +72,11 @@
             Eviction eviction,
             LoadBudget budget) {
         mServer = requireText("server", server);
-        mNode = requireText("node", node);
+        mReign = new Reign(requireText("node", node));
         mPolicy = requireValue("policy", policy);
         mSlots = new SlotTable(eviction);
-        mLoads = new LoadPlanner(mSlots, requireValue("budget", budget), Rendezvous.hash(server));
-        mKnown = !policy.model();
+        mLoads = new LoadPlanner(server, mSlots, requireValue("budget", budget));
+        mReign.begin(0, !policy.model());
     }
 
     /**
@@ -98,11 +88,9 @@
      * @return the orders
      */
     public List<Order> begin(long now, long quietNanos) {
-        mQuietNanos = quietNanos;
-        mSuperseded = false;
+        mReign.begin(quietNanos, !mPolicy.model());
         mLoads.evictFrom(now + quietNanos);
-        mKnown = !mPolicy.model();
-        return mKnown ? List.of() : List.of(new Order.Inspect());
+        return mReign.isKnown() ? List.of() : List.of(new Order.Inspect());
     }
 
     /**
@@ -126,9 +114,9 @@
      */
     public List<Order> submit(long now, Work work) {
         List<Order> orders = new ArrayList<>();
-        boolean givenUp = mRetired || mSuperseded;
-        if (givenUp || (work.mayRedirect() && isCrowdedFor(work))) {
-            orders.add(new Order.Redirect(work));
+        Optional<Quote> declined = declined(now, work);
+        if (declined.isPresent()) {
+            orders.add(new Order.Decline(work, declined.get()));
             return orders;
         }
         if (mQueue.size() >= mPolicy.queue()) {
@@ -139,14 +127,30 @@
         return pump(now, orders);
     }
 
-    private boolean isCrowdedFor(Work work) {
-        boolean full = mRunning.size() + mQueue.size() >= mPolicy.batch();
-        boolean noRoom =
-                work.adapter()
-                        .filter(a -> mKnown && !mSlots.holds(a))
-                        .filter(a -> !mSlots.canMakeRoom(mPolicy.slots()))
-                        .isPresent();
-        return full || noRoom;
+    private Optional<Quote> declined(long now, Work work) {
+        if (mReign.isOver()) {
+            return Optional.of(Quote.NONE);
+        }
+        if (work.ask() == Ask.ALWAYS) {
+            return Optional.empty();
+        }
+        Quote quote = quote(now, work);
+        boolean held = work.adapter().map(this::isHeld).orElse(true);
+        boolean room = work.ask() == Ask.IF_ROOM && Double.isFinite(quote.price());
+        return !quote.crowded() && (held || room) ? Optional.empty() : Optional.of(quote);
+    }
+
+    private boolean isHeld(AdapterRef adapter) {
+        return mSlots.holds(adapter) || mLoads.isComing(adapter);
+    }
+
+    /** A server is crowded when a turn here takes longer than a load elsewhere. */
+    private Quote quote(long now, Work work) {
+        double turn = mServiceTime.waitNanos(mRunning.size(), mQueue.size(), mPolicy.batch());
+        boolean crowded = turn > (mPolicy.model() ? mLoads.loadWaitNanos() : 0);
+        double price =
+                work.adapter().isEmpty() ? 0 : mLoads.priceOfRoom(now, mQueue.ordered(), mPolicy);
+        return new Quote(crowded, price);
     }
 
     private Problem fullProblem() {
@@ -189,7 +193,7 @@
      */
     public List<Order> unloaded(long now, AdapterRef adapter, boolean ok) {
         List<Order> orders = new ArrayList<>();
-        mLoads.unloaded(now, adapter, ok, mRetired, orders);
+        mLoads.unloaded(now, adapter, ok, mReign.isOver(), orders);
         return pump(now, orders);
     }
 
@@ -210,6 +214,15 @@
         return pump(now, new ArrayList<>());
     }
 
+    /**
+     * Takes that the engine refused an attempt since it doesn't hold the adapter.
+     *
+     * @param adapter the adapter
+     */
+    public void lost(AdapterRef adapter) {
+        mSlots.lost(adapter);
+    }
+
     /**
      * Withdraws an attempt that hasn't started.
      *
@@ -229,50 +242,37 @@
      * @return the orders
      */
     public List<Order> reported(long now, EngineReport report) {
-        boolean restarted = !mIncarnation.isEmpty() && !mIncarnation.equals(report.incarnation());
-        if (restarted) {
+        if (mReign.isNewLife(report.incarnation())) {
             mSlots.clear();
         }
-        mIncarnation = report.incarnation();
         List<Order> orders = new ArrayList<>();
         mSlots.reconcile(report, now - REPORT_LAG.toNanos(), now);
-        if (!mKnown) {
-            takeOver(report, orders);
-        } else if (isFencedBy(report)) {
-            supersede(now, orders);
+        boolean fences = mPolicy.fencing() == FencingSupport.CHECKED;
+        if (!mReign.isKnown()) {
+            mLoads.setFencing(mReign.takeOver(report.highestFencing()));
+            claim(fences, orders);
+        } else if (fences && report.highestFencing() > mLoads.fencing()) {
+            mReign.supersede(now);
+            declineAll(orders);
         }
         if (mSlots.hasForeignUse()) {
-            mLoads.evictFrom(now + mQuietNanos);
+            mLoads.evictFrom(now + mReign.quietNanos());
         }
         return pump(now, orders);
     }
 
-    private void takeOver(EngineReport report, List<Order> orders) {
-        mKnown = true;
-        mLoads.setFencing(FencingNumber.after(report.highestFencing(), mNode));
-        if (mPolicy.fencing() == FencingSupport.CHECKED) {
-            mSlots.anyResident().ifPresent(a -> orders.add(new Order.Claim(a, mLoads.fencing())));
-        }
-    }
-
-    private boolean isFencedBy(EngineReport report) {
-        return mPolicy.fencing() == FencingSupport.CHECKED
-                && report.highestFencing() > mLoads.fencing();
+    private void claim(boolean fences, List<Order> orders) {
+        mSlots.anyResident()
+                .filter(a -> fences)
+                .ifPresent(a -> orders.add(new Order.Claim(a, mLoads.fencing())));
     }
 
-    /** Another node has taken the engine over: leave it alone for a while. */
-    private void supersede(long now, List<Order> orders) {
-        mSuperseded = true;
-        mSupersededNanos = now;
-        redirectAll(orders);
-    }
-
-    private void redirectAll(List<Order> orders) {
+    private void declineAll(List<Order> orders) {
         mQueue.removeIf(w -> true)
                 .forEach(
                         w -> {
                             mStalled.remove(w.attempt());
-                            orders.add(new Order.Redirect(w));
+                            orders.add(new Order.Decline(w, Quote.NONE));
                         });
     }
 
@@ -283,10 +283,13 @@
      * @return the orders
      */
     public List<Order> tick(long now) {
-        if (mSuperseded && now - mSupersededNanos >= SUPERSEDED.toNanos()) {
-            return begin(now, mQuietNanos);
+        if (mReign.mayReturn(now)) {
+            return begin(now, mReign.quietNanos());
         }
-        return pump(now, new ArrayList<>());
+        List<Order> orders = new ArrayList<>();
+        refuseLate(now, orders);
+        loadWanted(now, orders);
+        return orders;
     }
 
     /**
@@ -295,25 +298,26 @@
      * @return the orders
      */
     public List<Order> retire() {
-        mRetired = true;
+        mReign.retire();
         List<Order> orders = new ArrayList<>();
-        redirectAll(orders);
+        declineAll(orders);
         return orders;
     }
 
     private List<Order> pump(long now, List<Order> orders) {
-        mQueue.removeIf(w -> now - w.deadlineNanos() >= 0)
-                .forEach(w -> refuse(w, shouldMeetDeadline(w.waitedMillis(now)), orders));
-        if (mRetired || mSuperseded || !mKnown) {
-            return orders;
-        }
+        refuseLate(now, orders);
         startReady(now, orders);
         loadWanted(now, orders);
         return orders;
     }
 
+    private void refuseLate(long now, List<Order> orders) {
+        mQueue.removeIf(w -> now - w.deadlineNanos() >= 0)
+                .forEach(w -> refuse(w, shouldMeetDeadline(w.waitedMillis(now)), orders));
+    }
+
     private void startReady(long now, List<Order> orders) {
-        while (mRunning.size() < mPolicy.batch()) {
+        while (mReign.isActive() && mRunning.size() < mPolicy.batch()) {
             Optional<Work> next = mQueue.poll(this::mayStart);
             if (next.isEmpty()) {
                 return;
@@ -323,17 +327,15 @@
     }
 
     private boolean mayStart(Work work) {
-        return isReady(work) && !(work.suspect() && runsSuspect());
+        return isReady(work)
+                && !(work.suspect()
+                        && mRunning.values().stream().anyMatch(r -> r.work().suspect()));
     }
 
     private boolean isReady(Work work) {
         return work.adapter().map(mSlots::isResident).orElse(true);
     }
 
-    private boolean runsSuspect() {
-        return mRunning.values().stream().anyMatch(r -> r.work().suspect());
-    }
-
     private void start(long now, Work work, List<Order> orders) {
         work.adapter().ifPresent(a -> mSlots.pin(a, work.attempt(), now));
         mRunning.put(work.attempt(), new Running(work, now));
@@ -342,7 +344,7 @@
     }
 
     private void loadWanted(long now, List<Order> orders) {
-        if (mQueue.size() == 0 || !mPolicy.model()) {
+        if (mQueue.size() == 0 || !mPolicy.model() || !mReign.isActive()) {
             return;
         }
         List<Work> waiting = mQueue.ordered();
@@ -388,12 +390,10 @@
         out.put("adapters", mSlots.dump());
         out.put("batch", mPolicy.batch());
         out.put("fencing", mLoads.fencing());
-        out.put("known", mKnown);
+        out.put("reign", mReign.toString());
         out.put("queued", mQueue.size());
-        out.put("retired", mRetired);
         out.put("running", mRunning.size());
         out.put("service", mPolicy.name());
-        out.put("superseded", mSuperseded);
         return out;
     }
 }
--- a/core/src/main/java/org/fescuehollow/placement/FencingNumber.java
+++ b/core/src/main/java/org/fescuehollow/placement/FencingNumber.java
@@ -1,6 +1,6 @@
 package org.fescuehollow.placement;
 
-import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * Numbers that grow with each change of an engine's coordinator, without shared state.
--- a/core/src/main/java/org/fescuehollow/placement/LoadBudget.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadBudget.java
@@ -9,12 +9,14 @@
  */
 public interface LoadBudget {
     /**
-     * Takes a permit for one load, which counts as in transit until released.
+     * Takes a permit for one load, which counts as in transit until released. Ask again while the
+     * load is wanted; a want that isn't repeated is forgotten.
      *
      * @param now the monotonic time in nanoseconds
-     * @return the permit, or empty if no load may begin now
+     * @param want the load
+     * @return the permit, or empty if the load may not begin now
      */
-    Optional<Permit> tryTake(long now);
+    Optional<Permit> tryTake(long now, Want want);
 
     /**
      * Gives a permit back; its load has ended or will not begin.
--- a/core/src/main/java/org/fescuehollow/placement/LoadFailures.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadFailures.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.fescuehollow.hashing.Rendezvous;
 import org.fescuehollow.model.AdapterRef;
-import org.fescuehollow.routing.Rendezvous;
 
 /**
  * Remembers failed loads and spaces their repetition, longer after each failure.
--- a/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.fescuehollow.hashing.Rendezvous;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.settings.ServicePolicy;
 
@@ -21,19 +23,25 @@
  */
 final class LoadPlanner {
     private static final int LOAD_ATTEMPTS = 4;
+    private static final double NEW_SAMPLE_SHARE = 0.1;
+    private static final double FIRST_GUESS_NANOS = 250e6;
 
+    private final String mServer;
     private final SlotTable mSlots;
     private final LoadBudget mBudget;
     private final LoadFailures mFailures;
     private final Map<AdapterRef, AdapterRef> mReplacing = new HashMap<>();
     private final Map<AdapterRef, Permit> mPermits = new HashMap<>();
+    private final Map<AdapterRef, Long> mWantedSince = new HashMap<>();
+    private double mLoadWaitNanos = FIRST_GUESS_NANOS;
     private long mFencing;
     private long mEvictFromNanos;
 
-    LoadPlanner(SlotTable slots, LoadBudget budget, long jitterSeed) {
+    LoadPlanner(String server, SlotTable slots, LoadBudget budget) {
+        mServer = server;
         mSlots = slots;
         mBudget = budget;
-        mFailures = new LoadFailures(jitterSeed);
+        mFailures = new LoadFailures(Rendezvous.hash(server));
     }
 
     void setFencing(long fencing) {
@@ -51,7 +59,11 @@
     /** Takes a load's result; returns the number of failures in a row if it is given up. */
     OptionalInt loaded(long now, AdapterRef adapter, boolean ok) {
         releaseFor(now, adapter);
+        Long since = mWantedSince.remove(adapter);
         if (ok) {
+            if (since != null) {
+                mLoadWaitNanos += NEW_SAMPLE_SHARE * (now - since - mLoadWaitNanos);
+            }
             mSlots.find(adapter).ifPresent(s -> s.become(Slot.State.RESIDENT, now));
             mFailures.succeeded(adapter);
             return OptionalInt.empty();
@@ -84,27 +96,52 @@
         }
     }
 
-    private boolean takeFor(long now, AdapterRef adapter) {
-        Optional<Permit> permit = mBudget.tryTake(now);
+    /** Mean time from wanting a load to its end, the wait for a permit included. */
+    double loadWaitNanos() {
+        return mLoadWaitNanos;
+    }
+
+    boolean isComing(AdapterRef adapter) {
+        return mReplacing.containsValue(adapter);
+    }
+
+    private boolean takeFor(long now, AdapterRef adapter, List<Work> waiting) {
+        Work first = waiting.get(0);
+        double waited = waiting.stream().mapToDouble(w -> w.waitedMillis(now)).sum();
+        Want want =
+                new Want(
+                        mServer + "/" + adapter,
+                        first.priority(),
+                        first.team(),
+                        first.weight(),
+                        waited);
+        Optional<Permit> permit = mBudget.tryTake(now, want);
         permit.ifPresent(p -> mPermits.put(adapter, p));
         return permit.isPresent();
     }
 
     /** Begins the loads that waiting work deserves, the first in the queue first. */
     void plan(long now, List<Work> waiting, ServicePolicy policy, List<Order> orders) {
-        Set<AdapterRef> waitedFor = new HashSet<>();
+        Set<AdapterRef> waitedFor = adaptersOf(waiting);
         Map<AdapterRef, List<Work>> wanted = new LinkedHashMap<>();
         for (Work w : waiting) {
             AdapterRef adapter = w.adapter().orElseThrow();
-            waitedFor.add(adapter);
-            if (!mSlots.holds(adapter) && !mReplacing.containsValue(adapter)) {
+            if (!mSlots.holds(adapter) && !isComing(adapter)) {
+                mWantedSince.putIfAbsent(adapter, now);
                 wanted.computeIfAbsent(adapter, a -> new ArrayList<>()).add(w);
             }
         }
+        mWantedSince.keySet().retainAll(waitedFor);
+        Optional<AdapterRef> victim = pickVictim(now, waitedFor);
         for (Map.Entry<AdapterRef, List<Work>> e : wanted.entrySet()) {
-            boolean deserved = mayLoad(now, e.getKey(), e.getValue(), policy);
-            if (deserved && !begin(now, e.getKey(), waitedFor, policy.slots(), orders)) {
-                return;
+            boolean hasRoom = mSlots.size() < policy.slots() || victim.isPresent();
+            boolean begun =
+                    hasRoom
+                            && mayLoad(now, e.getKey(), e.getValue(), policy)
+                            && takeFor(now, e.getKey(), e.getValue());
+            if (begun) {
+                begin(now, e.getKey(), victim, policy.slots(), orders);
+                victim = pickVictim(now, waitedFor);
             }
         }
     }
@@ -116,31 +153,36 @@
                 && policy.weighting().mayLoad(waiting.get(0).priority(), waiting.size(), oldest);
     }
 
-    /** Returns false if no further load can begin now. */
-    private boolean begin(
+    private void begin(
             long now,
             AdapterRef adapter,
-            Set<AdapterRef> waitedFor,
+            Optional<AdapterRef> victim,
             int slots,
             List<Order> orders) {
         if (mSlots.size() < slots) {
-            if (!takeFor(now, adapter)) {
-                return false;
-            }
             load(now, adapter, orders);
-            return true;
-        }
-        Optional<AdapterRef> victim =
-                now < mEvictFromNanos
-                        ? Optional.empty()
-                        : mSlots.pickVictim(waitedFor::contains, now);
-        if (victim.isEmpty() || !takeFor(now, adapter)) {
-            return false;
+            return;
         }
-        mSlots.find(victim.get()).orElseThrow().become(Slot.State.UNLOADING, now);
+        mSlots.find(victim.orElseThrow()).orElseThrow().become(Slot.State.UNLOADING, now);
         mReplacing.put(victim.get(), adapter);
         orders.add(new Order.Unload(victim.get(), mFencing));
-        return true;
+    }
+
+    /** The worth of the adapter that would go for another; zero for a free slot. */
+    double priceOfRoom(long now, List<Work> waiting, ServicePolicy policy) {
+        return mSlots.priceOfRoom(policy.slots(), adaptersOf(waiting)::contains, now);
+    }
+
+    private static Set<AdapterRef> adaptersOf(List<Work> waiting) {
+        return waiting.stream()
+                .flatMap(w -> w.adapter().stream())
+                .collect(Collectors.toCollection(HashSet::new));
+    }
+
+    private Optional<AdapterRef> pickVictim(long now, Set<AdapterRef> waitedFor) {
+        return now < mEvictFromNanos
+                ? Optional.empty()
+                : mSlots.pickVictim(waitedFor::contains, now);
     }
 
     private void load(long now, AdapterRef adapter, List<Order> orders) {
--- a/core/src/main/java/org/fescuehollow/placement/Order.java
+++ b/core/src/main/java/org/fescuehollow/placement/Order.java
@@ -43,11 +43,12 @@
     record Refuse(Work work, Problem problem) implements Order {}
 
     /**
-     * Offer an attempt to the adapter's next engine, since this one is full.
+     * Decline an attempt, which may go elsewhere.
      *
      * @param work the attempt
+     * @param quote what taking it would cost here
      */
-    record Redirect(Work work) implements Order {}
+    record Decline(Work work, Quote quote) implements Order {}
 
     /**
      * Show the engine this coordinator's fencing number, by an order that changes nothing.
--- a/core/src/main/java/org/fescuehollow/placement/PermitBank.java
+++ b/core/src/main/java/org/fescuehollow/placement/PermitBank.java
@@ -36,7 +36,7 @@
     private double mTokens;
     private long mFilledNanos;
     private long mNext;
-    private long mWantedNanos = Long.MIN_VALUE;
+    private final WantQueue mWants = new WantQueue();
 
     /** A loan not yet used. */
     private record Borrowed(Permit permit, long takenNanos) {}
@@ -85,17 +85,27 @@
     }
 
     @Override
-    public Optional<Permit> tryTake(long now) {
+    public Optional<Permit> tryTake(long now, Want want) {
+        mWants.note(now, want);
         refill(now);
-        Optional<Permit> permit = fromOwn(now).or(() -> fromBorrowed(now));
-        if (permit.isEmpty()) {
-            mWantedNanos = now;
+        if (!hasPermit(now) || !mWants.isFirst(now, want)) {
+            return Optional.empty();
         }
+        Optional<Permit> permit = fromOwn(now).or(() -> fromBorrowed(now));
+        permit.ifPresent(p -> mWants.granted(want));
         return permit;
     }
 
+    private boolean hasPermit(long now) {
+        return ownsPermit(now) || !mBorrowed.isEmpty();
+    }
+
+    private boolean ownsPermit(long now) {
+        return mTokens >= 1 && mOut.size() < usableUnits(now);
+    }
+
     private Optional<Permit> fromOwn(long now) {
-        if (mTokens < 1 || mOut.size() >= usableUnits(now)) {
+        if (!ownsPermit(now)) {
             return Optional.empty();
         }
         mTokens -= 1;
@@ -144,12 +154,10 @@
      * Tells whether a load waits for a permit that this node doesn't have.
      *
      * @param now the monotonic time in nanoseconds
-     * @return true if a permit was asked for lately in vain and no loan has come since
+     * @return true if a permit was asked for lately in vain and no loan is at hand
      */
     public boolean isWanting(long now) {
-        return mBorrowed.isEmpty()
-                && mWantedNanos != Long.MIN_VALUE
-                && now - mWantedNanos <= UNUSED_LOAN_NANOS;
+        return mBorrowed.isEmpty() && !mWants.isEmpty(now);
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/placement/Quote.java
@@ -0,0 +1,25 @@
+package org.fescuehollow.placement;
+
+import java.util.Comparator;
+
+/**
+ * What it would cost a backend server to take an attempt that it has declined.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param crowded true if the attempt would wait longer for its turn than for a load elsewhere
+ * @param price worth of the adapter that would be evicted; zero for a free slot, infinite if no
+ *     adapter can be evicted now
+ */
+public record Quote(boolean crowded, double price) implements Comparable<Quote> {
+    /** The quote of a server that can't take anything. */
+    public static final Quote NONE = new Quote(true, Double.POSITIVE_INFINITY);
+
+    private static final Comparator<Quote> ORDER =
+            Comparator.comparing(Quote::crowded).thenComparingDouble(Quote::price);
+
+    @Override
+    public int compareTo(Quote other) {
+        return ORDER.compare(this, other);
+    }
+}
--- a/core/src/main/java/org/fescuehollow/placement/ServiceTime.java
+++ b/core/src/main/java/org/fescuehollow/placement/ServiceTime.java
@@ -11,6 +11,12 @@
         mMeanNanos += NEW_SAMPLE_SHARE * (nanos - mMeanNanos);
     }
 
+    /** Returns how long an attempt at the queue's end waits for its turn. */
+    double waitNanos(int running, int queued, int batch) {
+        int ahead = running + queued - batch + 1;
+        return ahead <= 0 ? 0 : mMeanNanos * ahead / batch;
+    }
+
     int drainSeconds(int queued, int batch) {
         return (int) Math.ceil(mMeanNanos * queued / batch / NANOS_PER_SECOND);
     }
--- a/core/src/main/java/org/fescuehollow/placement/SlotTable.java
+++ b/core/src/main/java/org/fescuehollow/placement/SlotTable.java
@@ -57,6 +57,13 @@
         find(adapter).ifPresent(s -> s.unpin(attempt));
     }
 
+    /** Takes that the engine has lost an adapter that no request is known to use. */
+    void lost(AdapterRef adapter) {
+        find(adapter)
+                .filter(s -> s.state() == Slot.State.RESIDENT && s.pins() == 0)
+                .ifPresent(s -> mSlots.remove(adapter));
+    }
+
     void clear() {
         mSlots.clear();
     }
@@ -81,10 +88,14 @@
         return mSlots.keySet().stream().filter(this::isResident).findFirst();
     }
 
-    boolean canMakeRoom(int limit) {
-        return size() < limit
-                || mSlots.values().stream()
-                        .anyMatch(s -> s.state() == Slot.State.RESIDENT && !s.isPinned());
+    /** The worth of the adapter that would go; zero for a free slot, infinite if none can go. */
+    double priceOfRoom(int limit, Predicate<AdapterRef> isWanted, long now) {
+        if (size() < limit) {
+            return 0;
+        }
+        return pickVictim(isWanted, now)
+                .map(a -> mUses.of(a).agedCount(now))
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     /** Takes over what the engine reports; slots changed since the bound are left as they are. */
--- a/core/src/main/java/org/fescuehollow/placement/Work.java
+++ b/core/src/main/java/org/fescuehollow/placement/Work.java
@@ -16,7 +16,7 @@
  * @param adapter the adapter it needs; empty for plain services
  * @param arrivedNanos when it arrived here, by the coordinator's monotonic clock
  * @param deadlineNanos when its start is too late, by the same clock
- * @param mayRedirect true while the sender has other backend servers to try
+ * @param ask how firmly it asks to be taken
  * @param suspect true if a backend server crashed while it ran the same request
  */
 public record Work(
@@ -27,7 +27,7 @@
         Optional<AdapterRef> adapter,
         long arrivedNanos,
         long deadlineNanos,
-        boolean mayRedirect,
+        Ask ask,
         boolean suspect) {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
+++ b/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
@@ -2,36 +2,51 @@
 
 import static org.fescuehollow.error.ShouldFindCapacity.shouldFindCapacity;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.fescuehollow.admission.RetryBudget;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.model.Vm;
+import org.fescuehollow.placement.Ask;
+import org.fescuehollow.placement.Quote;
 
 /**
  * Decides where a request goes next: which backend server it tries, and when to give up.
  *
+ * <p>The candidates are asked in turn whether they hold the adapter. If none does, the one is asked
+ * to load it that quoted the lowest price, and the one that took the most pains is told to in the
+ * end.
+ *
  * <pre>{@code
  * AttemptPlan plan = new AttemptPlan("loket-kern", candidates, repeatable, budget);
  * AttemptPlan.Step step = plan.begin();
- * step = plan.redirected();
+ * step = plan.declined(quote);
  * }</pre>
  *
  * <p>Invariants: a request that must not repeat is sent to a backend server at most once; after
- * bytes of an answer went to the caller, no other attempt begins. Not safe for concurrent use.
+ * bytes of an answer went to the caller, no other attempt begins; a request is told to have not run
+ * only if none of its attempts may have run. Not safe for concurrent use.
  */
 public final class AttemptPlan {
     private static final int MAX_ATTEMPTS = 6;
     private static final int MAX_BROKEN = 3;
+    private static final int MAX_ROOM_ASKED = 2;
 
     private final String mService;
     private final List<Vm> mCandidates;
     private final boolean mRepeatable;
     private final RetryBudget mBudget;
-    private int mNext;
+    private final Map<Vm, Quote> mQuotes = new LinkedHashMap<>();
+    private final Deque<Step.Submit> mNext = new ArrayDeque<>();
+    private Vm mCurrent;
     private int mAttempts;
     private int mBroken;
-    private boolean mInsisting;
+    private boolean mInsisted;
     private RunState mRan = RunState.NOT_RUN;
 
     /** The next step of a request. */
@@ -40,9 +55,9 @@
          * Submit the request to a backend server's coordinator.
          *
          * @param server the backend server
-         * @param mayRedirect true if the coordinator may decline because it is crowded
+         * @param ask how firmly to ask
          */
-        record Submit(Vm server, boolean mayRedirect) implements Step {}
+        record Submit(Vm server, Ask ask) implements Step {}
 
         /**
          * Answer the caller with a problem.
@@ -79,27 +94,60 @@
             return new Step.GiveUp(
                     shouldFindCapacity(mService, "no backend server of it can be reached", 2));
         }
-        return submit(mCandidates.get(mNext++));
+        askAll(mCandidates);
+        return next();
+    }
+
+    private void askAll(List<Vm> servers) {
+        mNext.clear();
+        mQuotes.clear();
+        mInsisted = false;
+        if (servers.size() > 1) {
+            servers.forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_RESIDENT)));
+        } else {
+            insistOn(servers.get(0));
+        }
+    }
+
+    private void insistOn(Vm server) {
+        mInsisted = true;
+        mNext.add(new Step.Submit(server, Ask.ALWAYS));
     }
 
-    private Step submit(Vm server) {
-        return new Step.Submit(server, !mInsisting && mCandidates.size() > 1);
+    private Step next() {
+        Step.Submit step = mNext.remove();
+        mCurrent = step.server();
+        return step;
     }
 
     /**
-     * Goes on after a coordinator declined since it is crowded.
+     * Goes on after a coordinator declined.
      *
-     * @return the next step: the next server, or the first one again without a right to decline
+     * @param quote what taking the request would cost there
+     * @return the next step
      */
-    public Step redirected() {
-        if (mInsisting) {
-            return giveUp(shouldFindCapacity(mService, "all its servers are crowded", 1));
-        }
-        if (mNext < mCandidates.size()) {
-            return submit(mCandidates.get(mNext++));
+    public Step declined(Quote quote) {
+        mQuotes.put(mCurrent, quote);
+        if (mNext.isEmpty()) {
+            if (mInsisted) {
+                return giveUp(shouldFindCapacity(mService, "all its servers are crowded", 1));
+            }
+            askForRoom();
         }
-        mInsisting = true;
-        return submit(mCandidates.get(0));
+        return next();
+    }
+
+    private void askForRoom() {
+        List<Vm> cheapest =
+                mQuotes.entrySet().stream()
+                        .sorted(Map.Entry.comparingByValue())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        cheapest.stream()
+                .filter(s -> !mQuotes.get(s).crowded())
+                .limit(MAX_ROOM_ASKED)
+                .forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_ROOM)));
+        insistOn(cheapest.get(0));
     }
 
     /**
@@ -119,11 +167,18 @@
         if (answered || spent || !mayRepeat(problem) || !mBudget.tryRetry()) {
             return giveUp(problem);
         }
-        Vm next = mCandidates.get(mNext++ % mCandidates.size());
-        return submit(next);
+        askAll(othersFirst());
+        return next();
+    }
+
+    /** The server that failed comes last. */
+    private List<Vm> othersFirst() {
+        List<Vm> order = new ArrayList<>(mCandidates);
+        order.remove(mCurrent);
+        order.add(mCurrent);
+        return order;
     }
 
-    /** A call is told to have not run only if none of its attempts may have run. */
     private Step giveUp(Problem problem) {
         return new Step.GiveUp(problem.ran() == RunState.NOT_RUN ? problem.withRan(mRan) : problem);
     }
@@ -137,6 +192,7 @@
                             UNREACHABLE,
                             STOPPING,
                             LOAD_FAILED,
+                            ADAPTER_MISSING,
                             NO_CAPACITY ->
                             true;
                     default -> false;
--- a/core/src/main/java/org/fescuehollow/routing/CandidateTable.java
+++ b/core/src/main/java/org/fescuehollow/routing/CandidateTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.fescuehollow.hashing.Rendezvous;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
 
--- a/core/src/main/java/org/fescuehollow/routing/FleetView.java
+++ b/core/src/main/java/org/fescuehollow/routing/FleetView.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.fescuehollow.hashing.Rendezvous;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
 import org.fescuehollow.model.VmList;
--- a/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 import org.fescuehollow.error.FescuehollowException;
 import org.fescuehollow.error.Problem;
-import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * The settings known to a node; revisions of a path only ever grow.
--- a/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
@@ -2,6 +2,7 @@
 
 import static org.fescuehollow.error.ShouldAnswerWhole.shouldAnswer;
 import static org.fescuehollow.error.ShouldAnswerWhole.shouldAnswerWhole;
+import static org.fescuehollow.error.ShouldLoadAdapter.shouldHoldAdapter;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -74,18 +75,24 @@
     }
 
     private void refused(HttpClientResponse response, int status) {
+        boolean missing = status == 404;
         response.body()
                 .onComplete(
                         b ->
                                 fail(
-                                        shouldAnswer(
-                                                RunState.NOT_RUN,
-                                                "it refused with status " + status)));
+                                        missing
+                                                ? shouldHoldAdapter(adapterName())
+                                                : shouldAnswer(
+                                                        RunState.NOT_RUN,
+                                                        "it refused with status " + status)));
+    }
+
+    private String adapterName() {
+        return mCall.adapter().map(AdapterRef::toString).orElse("");
     }
 
     private void relayEvents(HttpClientResponse response) {
-        String model = mCall.adapter().map(AdapterRef::toString).orElse("");
-        SseReader reader = new SseReader(model, mLimits.answerBytes());
+        SseReader reader = new SseReader(adapterName(), mLimits.answerBytes());
         response.handler(data -> relay(response, reader, data));
         response.endHandler(v -> endStream(reader));
     }
@@ -150,7 +157,7 @@
         }
         try {
             if (mCall.adapter().isPresent() && response.statusCode() == STATUS_OK) {
-                ModelCheck.requireModel(mCall.adapter().get().toString(), body.getBytes());
+                ModelCheck.requireModel(adapterName(), body.getBytes());
             }
         } catch (FescuehollowException e) {
             fail(e.problem());
--- a/server/src/main/java/org/fescuehollow/server/call/AnswerSink.java
+++ b/server/src/main/java/org/fescuehollow/server/call/AnswerSink.java
@@ -2,11 +2,12 @@
 
 import io.vertx.core.buffer.Buffer;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.placement.Quote;
 
 /**
  * Receives one attempt's answer: a head, then chunks, then an end; or a failure at any point.
  *
- * <p>Invariant: after {@link #end}, {@link #failed} or {@link #redirected} nothing follows. All
+ * <p>Invariant: after {@link #end}, {@link #failed} or {@link #declined} nothing follows. All
  * methods are called on the node's loop.
  */
 public interface AnswerSink {
@@ -34,8 +35,12 @@
      */
     void failed(Problem problem);
 
-    /** Takes that the coordinator declined the attempt because its server is crowded. */
-    void redirected();
+    /**
+     * Takes that the coordinator declined the attempt.
+     *
+     * @param quote what taking it would cost
+     */
+    void declined(Quote quote);
 
     /**
      * Tells whether the receiver is behind, so that the sender should pause.
--- a/server/src/main/java/org/fescuehollow/server/call/CoordinatorPort.java
+++ b/server/src/main/java/org/fescuehollow/server/call/CoordinatorPort.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.server.call;
 
 import org.fescuehollow.model.Vm;
+import org.fescuehollow.placement.Ask;
 
 /** Reaches the coordinator of a backend server, here or on another node. Used on the loop. */
 public interface CoordinatorPort {
@@ -9,9 +10,9 @@
      *
      * @param server the backend server
      * @param call the call
-     * @param mayRedirect true if the coordinator may decline because it is crowded
+     * @param ask how firmly to ask
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    CallHandle submit(Vm server, Call call, boolean mayRedirect, AnswerSink sink);
+    CallHandle submit(Vm server, Call call, Ask ask, AnswerSink sink);
 }
--- a/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.error.RunState;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -19,6 +20,7 @@
     private final Call mCall;
     private final AnswerSink mSink;
     private final Runnable mOnEnd;
+    private final Consumer<Problem> mOnNotRun;
     private final BiConsumer<Problem, Consumer<Problem>> mOnBreak;
     private CallHandle mExchange = () -> {};
     private boolean mOver;
@@ -29,16 +31,19 @@
      * @param call the call
      * @param sink receives the answer
      * @param onEnd run once when a started attempt is over
+     * @param onNotRun takes a failure of a started attempt that did not run
      * @param onBreak takes a failure after which the server may have crashed, and who to tell it
      */
     Attempt(
             Call call,
             AnswerSink sink,
             Runnable onEnd,
+            Consumer<Problem> onNotRun,
             BiConsumer<Problem, Consumer<Problem>> onBreak) {
         mCall = call;
         mSink = sink;
         mOnEnd = onEnd;
+        mOnNotRun = onNotRun;
         mOnBreak = onBreak;
     }
 
@@ -99,7 +104,10 @@
 
     @Override
     public void failed(Problem problem) {
-        if (problem.ran() == RunState.NOT_RUN || mCall.adapter().isEmpty()) {
+        if (problem.ran() == RunState.NOT_RUN) {
+            mOnNotRun.accept(problem);
+            failNow(problem);
+        } else if (mCall.adapter().isEmpty()) {
             failNow(problem);
         } else {
             mOnBreak.accept(problem, this::failNow);
@@ -113,9 +121,9 @@
     }
 
     @Override
-    public void redirected() {
+    public void declined(Quote quote) {
         if (over()) {
-            mSink.redirected();
+            mSink.declined(quote);
         }
     }
 
--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
@@ -11,8 +11,10 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
+import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.Eviction;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -173,18 +175,18 @@
      *
      * @param server the backend server's id
      * @param call the call
-     * @param mayRedirect true if the sender has other servers to try
-     * @param sink receives the answer; redirected if this node doesn't coordinate the server
+     * @param ask how firmly the sender asks
+     * @param sink receives the answer; declined if this node doesn't coordinate the server
      * @return withdraws the attempt
      */
-    public CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink) {
+    public CallHandle submit(String server, Call call, Ask ask, AnswerSink sink) {
         ServerPost post = mPosts.get(server);
         if (post == null) {
-            sink.redirected();
+            sink.declined(Quote.NONE);
             return () -> {};
         }
         String attempt = mConfig.nodeId() + "/" + mIncarnation + "/" + mAttempts++;
-        return post.submit(attempt, call, mayRedirect, sink);
+        return post.submit(attempt, call, ask, sink);
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
@@ -15,9 +15,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.fescuehollow.error.ErrorCode;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
+import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.EngineReport;
 import org.fescuehollow.placement.Order;
@@ -91,7 +93,7 @@
         return mCoordinator.isIdle();
     }
 
-    CallHandle submit(String attempt, Call call, boolean mayRedirect, AnswerSink sink) {
+    CallHandle submit(String attempt, Call call, Ask ask, AnswerSink sink) {
         long now = now();
         long digest = call.digest();
         int crashes = Math.max(call.crashes(), mContext.suspects().count(digest));
@@ -111,7 +113,7 @@
                         call.adapter(),
                         now,
                         now + Duration.ofMillis(call.patienceMillis()).toNanos(),
-                        mayRedirect,
+                        ask,
                         crashes > 0);
         mAttempts.put(
                 attempt,
@@ -119,6 +121,7 @@
                         call,
                         sink,
                         () -> ended(attempt),
+                        problem -> notRun(attempt, call, problem),
                         (problem, release) -> broke(attempt, digest, problem, release)));
         carryOut(mCoordinator.submit(now, work));
         return () -> cancel(attempt);
@@ -137,6 +140,17 @@
         carryOut(mCoordinator.finished(now(), attempt));
     }
 
+    /** Takes that an attempt did not run: the engine may be gone, or may have lost the adapter. */
+    private void notRun(String attempt, Call call, Problem problem) {
+        ended(attempt);
+        if (problem.code() == ErrorCode.ADAPTER_MISSING) {
+            call.adapter().ifPresent(mCoordinator::lost);
+        }
+        if (call.adapter().isPresent()) {
+            inspect();
+        }
+    }
+
     private void broke(String attempt, long digest, Problem problem, Consumer<Problem> release) {
         if (mBroken.add(attempt, digest, problem, release)) {
             mBrokeSinceAsked = mInspecting;
@@ -163,8 +177,8 @@
             start(start);
         } else if (order instanceof Order.Refuse refuse) {
             remove(refuse.work()).refused(s -> s.failed(refuse.problem()));
-        } else if (order instanceof Order.Redirect redirect) {
-            remove(redirect.work()).refused(AnswerSink::redirected);
+        } else if (order instanceof Order.Decline decline) {
+            remove(decline.work()).refused(s -> s.declined(decline.quote()));
         } else {
             inspect();
         }
--- a/server/src/main/java/org/fescuehollow/server/front/CallerSink.java
+++ b/server/src/main/java/org/fescuehollow/server/front/CallerSink.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 
@@ -106,8 +107,8 @@
     }
 
     @Override
-    public void redirected() {
-        throw new IllegalStateException("expected an answer or a problem, got a redirect");
+    public void declined(Quote quote) {
+        throw new IllegalStateException("expected an answer or a problem, got " + quote);
     }
 
     @Override
--- a/server/src/main/java/org/fescuehollow/server/idempotency/ForwardedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/idempotency/ForwardedCall.java
@@ -10,6 +10,7 @@
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.idempotency.Ticket;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -80,7 +81,7 @@
         }
 
         @Override
-        public void redirected() {
+        public void declined(Quote quote) {
             askNext();
         }
 
--- a/server/src/main/java/org/fescuehollow/server/idempotency/IdempotencyService.java
+++ b/server/src/main/java/org/fescuehollow/server/idempotency/IdempotencyService.java
@@ -19,6 +19,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.fescuehollow.hashing.Rendezvous;
 import org.fescuehollow.idempotency.LedgerAnswer;
 import org.fescuehollow.idempotency.LedgerSnapshot;
 import org.fescuehollow.idempotency.Outcome;
@@ -26,7 +27,7 @@
 import org.fescuehollow.idempotency.TicketLedger;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
-import org.fescuehollow.routing.Rendezvous;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -160,7 +161,7 @@
         Optional<Ticket> ticket = Ticket.parse(text);
         Optional<TicketLedger> ledger = ticket.flatMap(this::ledgerOf);
         if (ledger.isEmpty()) {
-            sink.redirected();
+            sink.declined(Quote.NONE);
             return () -> {};
         }
         return runOnce(ledger.get(), ticket.get(), call, sink);
--- a/server/src/main/java/org/fescuehollow/server/idempotency/RecordingSink.java
+++ b/server/src/main/java/org/fescuehollow/server/idempotency/RecordingSink.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.idempotency.Outcome;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 
@@ -63,8 +64,8 @@
     }
 
     @Override
-    public void redirected() {
-        throw new IllegalStateException("expected an answer or a problem, got a redirect");
+    public void declined(Quote quote) {
+        throw new IllegalStateException("expected an answer or a problem, got " + quote);
     }
 
     @Override
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerCodec.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerCodec.java
@@ -13,6 +13,8 @@
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Priority;
+import org.fescuehollow.placement.Ask;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.settings.Revision;
@@ -125,6 +127,38 @@
                 m.getCrashes());
     }
 
+    /**
+     * Encodes a quote.
+     *
+     * @param q the quote
+     * @return the message
+     */
+    public static PeerProto.Declined quote(Quote q) {
+        return PeerProto.Declined.newBuilder().setCrowded(q.crowded()).setPrice(q.price()).build();
+    }
+
+    /**
+     * Decodes a quote.
+     *
+     * @param m the message
+     * @return the quote
+     */
+    public static Quote quote(PeerProto.Declined m) {
+        return new Quote(m.getCrowded(), m.getPrice());
+    }
+
+    /**
+     * Decodes how firmly an attempt asks.
+     *
+     * @param number the number on the wire
+     * @return the way of asking
+     * @throws IllegalArgumentException if the number is out of range
+     */
+    public static Ask ask(int number) {
+        Ask[] values = Ask.values();
+        return values[(int) requireBetween("ask", number, 0, values.length - 1L)];
+    }
+
     /**
      * Encodes an answer's head.
      *
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerRequests.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerRequests.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.server.peer;
 
 import java.util.function.Consumer;
+import org.fescuehollow.placement.Ask;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
@@ -13,18 +14,18 @@
      *
      * @param server the backend server's id
      * @param call the call
-     * @param mayRedirect true if the sender has other servers to try
+     * @param ask how firmly the sender asks
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink);
+    CallHandle submit(String server, Call call, Ask ask, AnswerSink sink);
 
     /**
      * Serves a call whose ticket this node answers for.
      *
      * @param ticket the ticket
      * @param call the call
-     * @param sink receives the answer; redirected if this node doesn't answer for the ticket
+     * @param sink receives the answer; declined if this node doesn't answer for the ticket
      * @return withdraws the call
      */
     CallHandle runTicket(String ticket, Call call, AnswerSink sink);
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
@@ -28,6 +28,8 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
+import org.fescuehollow.placement.Ask;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
@@ -56,7 +58,7 @@
             new EnumMap<>(PeerProto.Frame.BodyCase.class);
     private FleetService mFleet;
     private Channel mListener;
-    private Submitter mSubmitter = (server, call, mayRedirect, sink) -> refuse(sink);
+    private Submitter mSubmitter = (server, call, ask, sink) -> refuse(sink);
     private TicketRunner mTicketRunner = (ticket, call, sink) -> refuse(sink);
 
     /** Serves an attempt for another node. */
@@ -67,11 +69,11 @@
          *
          * @param server the backend server's id
          * @param call the call
-         * @param mayRedirect true if the sender has other servers to try
+         * @param ask how firmly the sender asks
          * @param sink receives the answer
          * @return withdraws the attempt
          */
-        CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink);
+        CallHandle submit(String server, Call call, Ask ask, AnswerSink sink);
     }
 
     /** Serves a call with a ticket for another node. */
@@ -115,7 +117,7 @@
     }
 
     private static CallHandle refuse(AnswerSink sink) {
-        sink.redirected();
+        sink.declined(Quote.NONE);
         return () -> {};
     }
 
@@ -191,16 +193,15 @@
      * @param node the node's id
      * @param server the backend server's id
      * @param call the call
-     * @param mayRedirect true if there are other servers to try
+     * @param ask how firmly to ask
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    public CallHandle submit(
-            String node, String server, Call call, boolean mayRedirect, AnswerSink sink) {
+    public CallHandle submit(String node, String server, Call call, Ask ask, AnswerSink sink) {
         PeerProto.Submit submit =
                 PeerProto.Submit.newBuilder()
                         .setServer(server)
-                        .setMayRedirect(mayRedirect)
+                        .setAsk(ask.ordinal())
                         .setCall(PeerCodec.call(call))
                         .build();
         return call(node, PeerProto.Frame.newBuilder().setSubmit(submit), sink);
@@ -212,7 +213,7 @@
      * @param node the node's id
      * @param ticket the ticket
      * @param call the call
-     * @param sink receives the answer; redirected if that node doesn't answer for the ticket
+     * @param sink receives the answer; declined if that node doesn't answer for the ticket
      * @return withdraws the call
      */
     public CallHandle runTicket(String node, String ticket, Call call, AnswerSink sink) {
@@ -294,8 +295,8 @@
     /** Serves other nodes by way of the registered services. */
     private final class Requests implements PeerRequests {
         @Override
-        public CallHandle submit(String server, Call call, boolean mayRedirect, AnswerSink sink) {
-            return mSubmitter.submit(server, call, mayRedirect, sink);
+        public CallHandle submit(String server, Call call, Ask ask, AnswerSink sink) {
+            return mSubmitter.submit(server, call, ask, sink);
         }
 
         @Override
--- a/server/src/main/java/org/fescuehollow/server/peer/ServedLink.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/ServedLink.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
@@ -52,7 +53,9 @@
         serve(
                 stream,
                 call,
-                sink -> mRequests.submit(submit.getServer(), call, submit.getMayRedirect(), sink));
+                sink ->
+                        mRequests.submit(
+                                submit.getServer(), call, PeerCodec.ask(submit.getAsk()), sink));
     }
 
     private void runTicket(long stream, PeerProto.RunTicket run) {
@@ -119,8 +122,8 @@
         }
 
         @Override
-        public void redirected() {
-            last(reply().setRedirected(PeerProto.Redirected.getDefaultInstance()));
+        public void declined(Quote quote) {
+            last(reply().setDeclined(PeerCodec.quote(quote)));
         }
 
         @Override
--- a/server/src/main/java/org/fescuehollow/server/peer/StreamTable.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/StreamTable.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.error.RunState;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.wire.PeerProto;
 
@@ -61,7 +62,10 @@
             case CHUNK ->
                     stream.mSink.chunk(Buffer.buffer(frame.getChunk().getData().toByteArray()));
             case END -> end(frame, AnswerSink::end);
-            case REDIRECTED -> end(frame, AnswerSink::redirected);
+            case DECLINED -> {
+                Quote quote = PeerCodec.quote(frame.getDeclined());
+                end(frame, s -> s.declined(quote));
+            }
             case FAILED -> {
                 Problem problem = PeerCodec.problem(frame.getFailed().getProblem());
                 end(frame, s -> s.failed(problem));
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import org.fescuehollow.error.Problem;
+import org.fescuehollow.placement.Quote;
 import org.fescuehollow.routing.AttemptPlan;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
@@ -51,8 +52,7 @@
         if (step instanceof AttemptPlan.Step.Submit submit) {
             int number = ++mAttempt;
             CallHandle handle =
-                    mPort.submit(
-                            submit.server(), mCall, submit.mayRedirect(), new AttemptSink(number));
+                    mPort.submit(submit.server(), mCall, submit.ask(), new AttemptSink(number));
             if (number == mAttempt && !mOver) {
                 mCurrent = handle;
             }
@@ -125,9 +125,9 @@
         }
 
         @Override
-        public void redirected() {
+        public void declined(Quote quote) {
             if (isCurrent()) {
-                follow(mPlan.redirected());
+                follow(mPlan.declined(quote));
             }
         }
 
