--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/capacity/CapacityBench.java
@@ -0,0 +1,272 @@
+package org.fescuehollow.bench.capacity;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.fescuehollow.idempotency.Outcome;
+import org.fescuehollow.idempotency.Ticket;
+import org.fescuehollow.idempotency.TicketLedger;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.model.Vm;
+import org.fescuehollow.model.VmList;
+import org.fescuehollow.model.VmRole;
+import org.fescuehollow.model.VmState;
+import org.fescuehollow.routing.CandidateTable;
+import org.fescuehollow.routing.FleetView;
+import org.fescuehollow.settings.SettingsEntry;
+import org.fescuehollow.settings.SettingsSpread;
+import org.fescuehollow.settings.SettingsStore;
+import org.fescuehollow.suspects.CrashSuspects;
+
+/**
+ * Measures the slopes from which the capacity page works out each role's cost.
+ *
+ * <p>Used from one thread. Every figure is taken at three sizes or more.
+ */
+public final class CapacityBench {
+    private static final int NODES = 410;
+    private static final int ENGINES = 4_700;
+    private static final AdapterRef ADAPTER = new AdapterRef("adapter-12345", "v1");
+
+    private final PrintStream mOut;
+
+    /**
+     * Creates the benchmark.
+     *
+     * @param out where the table goes
+     */
+    public CapacityBench(PrintStream out) {
+        mOut = out;
+    }
+
+    /** Measures and prints everything. */
+    public void run() {
+        mOut.printf("%-44s %-34s %14s%n", "figure", "size: value", "at full size");
+        membership();
+        measure("settings, heap bytes", List.of(1_000, 4_000, 12_000), 12_000, this::settingsHeap);
+        measure(
+                "settings, merge of one path, us",
+                List.of(1_000, 4_000, 12_000),
+                12_000,
+                this::mergeMicros);
+        measure(
+                "settings, digests and offer, us",
+                List.of(1_000, 4_000, 12_000),
+                12_000,
+                this::offerMicros);
+        measure("VM list and view, heap bytes", List.of(500, 1_500, 5_110), 5_110, this::viewHeap);
+        measure(
+                "view rebuilt and first ranking, us",
+                List.of(500, 1_500, 5_110),
+                5_110,
+                this::rebuildMicros);
+        measure(
+                "ranking kept, one look-up, ns",
+                List.of(17, 500, 4_700),
+                ENGINES,
+                this::lookupNanos);
+        measure("coordinators, heap bytes", List.of(100, 400, 1_600), 12, this::coordinatorHeap);
+        measure(
+                "one request through a coordinator, us",
+                List.of(4, 16, 64),
+                16,
+                this::requestMicros);
+        measure("coordinator's tick, 0 to 64 waiting, us", List.of(1, 16, 64), 4, this::tickMicros);
+        measure(
+                "ticket records, heap bytes",
+                List.of(1_000, 10_000, 50_000),
+                100_000,
+                this::ledgerHeap);
+        measure(
+                "crash findings, heap bytes",
+                List.of(256, 1_024, 4_096),
+                4_096,
+                this::suspectsHeap);
+    }
+
+    private void membership() {
+        SortedMap<Integer, Double> messages = new TreeMap<>();
+        SortedMap<Integer, Double> bytes = new TreeMap<>();
+        SortedMap<Integer, Double> cpu = new TreeMap<>();
+        for (int n : List.of(50, 100, 200, NODES)) {
+            MembershipLoad.Cost cost = new MembershipLoad(n).measure();
+            messages.put(n, cost.messages());
+            bytes.put(n, cost.bytes());
+            cpu.put(n, cost.cpuMicros());
+        }
+        print("membership, datagrams a node and second", messages, NODES);
+        print("membership, bytes a node and second", bytes, NODES);
+        print("membership, CPU us a node and second", cpu, NODES);
+        SortedMap<Integer, Double> agree = new TreeMap<>();
+        for (int n : List.of(50, 200, NODES)) {
+            agree.put(n, (double) new MembershipLoad(n).secondsToAgreeAfterLosing(n / 20));
+        }
+        print("seconds to agree after losing 5% of nodes", agree, NODES);
+    }
+
+    private void measure(String name, List<Integer> sizes, int full, IntToDoubleFunction figure) {
+        SortedMap<Integer, Double> points = new TreeMap<>();
+        figure.applyAsDouble(sizes.get(0));
+        sizes.forEach(n -> points.put(n, figure.applyAsDouble(n)));
+        print(name, points, full);
+    }
+
+    private void print(String name, SortedMap<Integer, Double> points, int full) {
+        String values =
+                points.entrySet().stream()
+                        .map(e -> String.format(Locale.ROOT, "%d: %.4g", e.getKey(), e.getValue()))
+                        .collect(Collectors.joining(", "));
+        double atFull =
+                points.containsKey(full) ? points.get(full) : Slope.through(points).at(full);
+        mOut.printf(Locale.ROOT, "%-44s %s -> %.5g at %d%n", name, values, atFull, full);
+        mOut.flush();
+    }
+
+    private SettingsStore store(int paths) {
+        SettingsStore store = new SettingsStore();
+        for (int i = 0; i < paths; i++) {
+            store.merge(SettingsEntry.value("teams/team-" + i + "/access", 1, access(i)));
+        }
+        return store;
+    }
+
+    private static String access(int i) {
+        return """
+        keys: [%064x]
+        adapters:
+          - {name: adapter-%d, versions: [v1], service: assistants}
+        """
+                .formatted(i, i);
+    }
+
+    private double settingsHeap(int paths) {
+        return Meter.heapBytes(() -> store(paths));
+    }
+
+    private double mergeMicros(int paths) {
+        SettingsStore store = store(paths);
+        int merges = 200;
+        double nanos =
+                Meter.cpuNanos(
+                        () ->
+                                IntStream.range(0, merges)
+                                        .forEach(
+                                                i ->
+                                                        store.merge(
+                                                                SettingsEntry.value(
+                                                                        "teams/team-"
+                                                                                + i
+                                                                                + "/access",
+                                                                        2,
+                                                                        access(i)))));
+        return nanos / merges / 1_000;
+    }
+
+    private double offerMicros(int paths) {
+        SettingsSpread spread = new SettingsSpread(store(paths));
+        List<Long> other = new ArrayList<>(spread.summary());
+        other.set(3, 0L);
+        int rounds = 200;
+        return Meter.cpuNanos(() -> IntStream.range(0, rounds).forEach(i -> spread.offer(other)))
+                / rounds
+                / 1_000;
+    }
+
+    private static VmList list(int vms) {
+        List<Vm> all = new ArrayList<>();
+        int nodes = Math.max(5, vms * NODES / (NODES + ENGINES));
+        for (int i = 0; i < vms; i++) {
+            boolean entry = i < nodes;
+            all.add(
+                    new Vm(
+                            (entry ? "entry-" : "engine-") + i,
+                            entry ? VmRole.ENTRY : VmRole.ENGINE,
+                            entry ? "" : "assistants",
+                            "domain-" + i % 5,
+                            "10.0.0.1",
+                            1_000,
+                            VmState.LIVE));
+        }
+        return new VmList(1, all);
+    }
+
+    private static FleetView view(VmList list) {
+        Set<String> live =
+                list.withRole(VmRole.ENTRY).stream().map(Vm::id).collect(Collectors.toSet());
+        FleetView view = FleetView.of(list, live);
+        view.candidates("assistants", ADAPTER);
+        return view;
+    }
+
+    private double viewHeap(int vms) {
+        return Meter.heapBytes(() -> view(list(vms)));
+    }
+
+    private double rebuildMicros(int vms) {
+        VmList list = list(vms);
+        int rounds = 20;
+        double nanos =
+                Meter.cpuNanos(
+                        () ->
+                                IntStream.range(0, rounds)
+                                        .forEach(i -> view(list).coordinatedBy("entry-0")));
+        return nanos / rounds / 1_000;
+    }
+
+    private double lookupNanos(int engines) {
+        CandidateTable table = new CandidateTable(list(engines + 5).vms());
+        int rounds = 2_000_000;
+        table.candidates(ADAPTER);
+        return Meter.cpuNanos(
+                        () -> IntStream.range(0, rounds).forEach(i -> table.candidates(ADAPTER)))
+                / rounds;
+    }
+
+    private double coordinatorHeap(int count) {
+        return Meter.heapBytes(
+                () -> IntStream.range(0, count).mapToObj(i -> CoordinatorLoad.busy(16)).toList());
+    }
+
+    private double requestMicros(int batch) {
+        CoordinatorLoad load = CoordinatorLoad.busy(batch);
+        int rounds = 20_000;
+        return Meter.cpuNanos(() -> load.replace(rounds)) / rounds / 1_000;
+    }
+
+    private double tickMicros(int waiting) {
+        CoordinatorLoad load = CoordinatorLoad.waiting(waiting);
+        int rounds = 5_000;
+        return Meter.cpuNanos(() -> load.tick(rounds)) / rounds / 1_000;
+    }
+
+    private double ledgerHeap(int records) {
+        return Meter.heapBytes(
+                () -> {
+                    TicketLedger ledger = new TicketLedger("n1", "life", new byte[32], 1_000_000);
+                    for (int i = 0; i < records; i++) {
+                        Ticket t = ledger.mint();
+                        ledger.begin(t, i);
+                        ledger.end(t, Outcome.answer(200, "application/json", new byte[300]));
+                    }
+                    return ledger;
+                });
+    }
+
+    private double suspectsHeap(int digests) {
+        return Meter.heapBytes(
+                () -> {
+                    CrashSuspects suspects = new CrashSuspects();
+                    for (long d = 0; d < digests; d++) {
+                        suspects.crashed(d, List.of(d));
+                    }
+                    return suspects;
+                });
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/capacity/CoordinatorLoad.java
@@ -0,0 +1,97 @@
+package org.fescuehollow.bench.capacity;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.model.Priority;
+import org.fescuehollow.placement.Ask;
+import org.fescuehollow.placement.EngineCoordinator;
+import org.fescuehollow.placement.EngineReport;
+import org.fescuehollow.placement.Eviction;
+import org.fescuehollow.placement.PermitBank;
+import org.fescuehollow.placement.Work;
+import org.fescuehollow.settings.FencingSupport;
+import org.fescuehollow.settings.ServicePolicy;
+import org.fescuehollow.settings.Weighting;
+
+/** Drives one coordinator as under steady load. Used from one thread. */
+final class CoordinatorLoad {
+    private static final int SLOTS = 16;
+    private static final long STEP_NANOS = 1_000_000;
+    private static final long PATIENCE_NANOS = Duration.ofHours(1).toNanos();
+
+    private final EngineCoordinator mCoordinator;
+    private long mNow;
+    private long mNext;
+    private long mOldest;
+
+    private CoordinatorLoad(int batch) {
+        ServicePolicy policy =
+                new ServicePolicy(
+                        "svc",
+                        true,
+                        SLOTS,
+                        batch,
+                        256,
+                        Weighting.STALLS_FIRST,
+                        FencingSupport.CHECKED);
+        PermitBank bank = new PermitBank("n", 0, 1_000_000_000L);
+        mCoordinator =
+                new EngineCoordinator("engine", "n", policy, Eviction.LEAST_FREQUENT_AGED, bank);
+        mCoordinator.begin(0, 0);
+        SortedMap<AdapterRef, Integer> resident = new TreeMap<>();
+        IntStream.range(0, SLOTS).forEach(i -> resident.put(adapter(i), 0));
+        mCoordinator.reported(0, new EngineReport("life", resident, 0));
+    }
+
+    static CoordinatorLoad busy(int batch) {
+        CoordinatorLoad load = new CoordinatorLoad(batch);
+        IntStream.range(0, batch).forEach(i -> load.submit(i % SLOTS));
+        return load;
+    }
+
+    static CoordinatorLoad waiting(int waiting) {
+        CoordinatorLoad load = busy(16);
+        IntStream.range(0, waiting).forEach(i -> load.submit(SLOTS + i));
+        return load;
+    }
+
+    private static AdapterRef adapter(int i) {
+        return new AdapterRef("adapter-" + i, "v1");
+    }
+
+    private void submit(int adapter) {
+        mCoordinator.submit(
+                mNow,
+                new Work(
+                        "w" + mNext++,
+                        "team-" + adapter % 5,
+                        1,
+                        Priority.STANDARD,
+                        Optional.of(adapter(adapter)),
+                        mNow,
+                        mNow + PATIENCE_NANOS,
+                        Ask.ALWAYS,
+                        0,
+                        false));
+    }
+
+    /** Ends the oldest request and takes a new one, again and again. */
+    void replace(int rounds) {
+        for (int i = 0; i < rounds; i++) {
+            mNow += STEP_NANOS;
+            mCoordinator.finished(mNow, "w" + mOldest++);
+            submit((int) (mNext % SLOTS));
+        }
+    }
+
+    void tick(int rounds) {
+        for (int i = 0; i < rounds; i++) {
+            mNow += STEP_NANOS;
+            mCoordinator.tick(mNow);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/decision/RoutingBenchmark.java
@@ -0,0 +1,81 @@
+package org.fescuehollow.bench.decision;
+
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.fescuehollow.admission.RetryBudget;
+import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.model.Vm;
+import org.fescuehollow.model.VmRole;
+import org.fescuehollow.model.VmState;
+import org.fescuehollow.routing.AttemptPlan;
+import org.fescuehollow.routing.CandidateTable;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Time of one routing decision at today's size and at that of two years.
+ *
+ * <p>Run by JMH; its state belongs to one thread.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class RoutingBenchmark {
+    private static final int ADAPTERS = 11_000;
+    private static final int USED = 1_024;
+
+    /** Engines of the service. */
+    @Param({"17", "4700"})
+    public int engines;
+
+    private CandidateTable mTable;
+    private AdapterRef[] mAdapters;
+    private int mNext;
+
+    /** Creates the fleet and the adapters in use. */
+    @Setup
+    public void setUp() {
+        mTable =
+                new CandidateTable(
+                        IntStream.range(0, engines)
+                                .mapToObj(
+                                        i ->
+                                                new Vm(
+                                                        "engine-" + i,
+                                                        VmRole.ENGINE,
+                                                        "svc",
+                                                        "d" + i % 5,
+                                                        "10.0.0.1",
+                                                        1,
+                                                        VmState.LIVE))
+                                .toList());
+        mAdapters =
+                IntStream.range(0, USED)
+                        .mapToObj(i -> new AdapterRef("a" + i * (ADAPTERS / USED), "v1"))
+                        .toArray(AdapterRef[]::new);
+    }
+
+    /**
+     * Plans one request up to its first step.
+     *
+     * @return the step
+     */
+    @Benchmark
+    public AttemptPlan.Step decide() {
+        AdapterRef adapter = mAdapters[mNext++ & (USED - 1)];
+        return new AttemptPlan("svc", mTable.candidates(adapter), true, new RetryBudget(0.1, 10))
+                .begin();
+    }
+}
--- a/bench/src/main/java/org/fescuehollow/bench/policy/FakeEngine.java
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/FakeEngine.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.EngineReport;
 import org.fescuehollow.placement.Order;
@@ -76,7 +75,7 @@
         return mRunning.size() + mWaiting.size();
     }
 
-    void submit(Request r, AttemptPlan plan, Ask ask) {
+    void submit(Request r, AttemptPlan plan, AttemptPlan.Step.Submit step) {
         String id = "r" + r.number();
         mWaiting.put(id, new Submitted(r, plan));
         long deadline =
@@ -90,7 +89,8 @@
                         Optional.of(r.adapter()),
                         r.arrivalNanos(),
                         deadline,
-                        ask,
+                        step.ask(),
+                        step.uses(),
                         false);
         carryOut(mCoordinator.submit(mTimeline.now(), work));
     }
--- a/cli/src/main/java/org/fescuehollow/cli/Command.java
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -5,6 +5,7 @@
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fescuehollow.bench.capacity.CapacityBench;
 import org.fescuehollow.bench.policy.PolicyBench;
 
 /** The commands of the command line. Immutable and safe for use by any thread. */
@@ -48,10 +49,10 @@
         }
     },
     /** Measures the policy. */
-    BENCH("bench", "measure the policy under load in virtual time") {
+    BENCH("bench", "measure the policy under load, or the slopes of the capacity page") {
         @Override
         void configure(Subparser p) {
-            p.addArgument("what").choices("policy").help("what to measure");
+            p.addArgument("what").choices("policy", "capacity").help("what to measure");
             p.addArgument("--size")
                     .choices("today", "all")
                     .setDefault("today")
@@ -60,6 +61,10 @@
 
         @Override
         int run(Namespace o, PrintStream out, PrintStream err) {
+            if (o.getString("what").equals("capacity")) {
+                new CapacityBench(out).run();
+                return 0;
+            }
             PolicyBench bench = new PolicyBench(out);
             if (o.getString("size").equals("all")) {
                 bench.runAll();
--- a/core/src/main/java/org/fescuehollow/membership/Rumours.java
+++ b/core/src/main/java/org/fescuehollow/membership/Rumours.java
@@ -12,7 +12,7 @@
  * <p>Invariant: of each node only the newest news is kept. Not safe for concurrent use.
  */
 final class Rumours {
-    static final int PER_MESSAGE = 8;
+    static final int PER_MESSAGE = 16;
     private static final int REPEATS = 3;
 
     private final Map<String, MemberUpdate> mNews = new LinkedHashMap<>();
--- a/core/src/main/java/org/fescuehollow/placement/AdapterUse.java
+++ b/core/src/main/java/org/fescuehollow/placement/AdapterUse.java
@@ -12,17 +12,23 @@
  * @param lastUsedNanos the last use, by the monotonic clock
  */
 public record AdapterUse(double count, long lastUsedNanos) {
+    /** Uses no further apart than this count once. */
+    public static final Duration TOGETHER = Duration.ofMillis(500);
+
     /** Time in which a use loses half its weight. */
-    public static final Duration HALF_LIFE = Duration.ofMinutes(10);
+    public static final Duration HALF_LIFE = Duration.ofSeconds(60);
 
     /**
-     * Returns the state after one more use.
+     * Returns the state after one more use. Uses that one load would have served together count
+     * once.
      *
+     * @param worth what the use counts, from zero to one
      * @param now the monotonic time in nanoseconds
      * @return the new state
      */
-    public AdapterUse used(long now) {
-        return new AdapterUse(agedCount(now) + 1, now);
+    public AdapterUse used(double worth, long now) {
+        boolean shared = count > 0 && now - lastUsedNanos < TOGETHER.toNanos();
+        return shared ? this : new AdapterUse(agedCount(now) + worth, now);
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/placement/AdapterUses.java
+++ b/core/src/main/java/org/fescuehollow/placement/AdapterUses.java
@@ -16,8 +16,11 @@
 
     private final Map<AdapterRef, AdapterUse> mUses = new HashMap<>();
 
-    void used(AdapterRef adapter, long now) {
-        mUses.put(adapter, of(adapter).used(now));
+    /** Counts a use; the count continues from what is known elsewhere, if that is more. */
+    void used(AdapterRef adapter, double elsewhere, double worth, long now) {
+        AdapterUse own = of(adapter);
+        AdapterUse known = own.agedCount(now) < elsewhere ? new AdapterUse(elsewhere, now) : own;
+        mUses.put(adapter, known.used(worth, now));
         if (mUses.size() > LIMIT) {
             Eviction.LEAST_FREQUENT_AGED.pick(mUses, now).ifPresent(mUses::remove);
         }
--- a/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
+++ b/core/src/main/java/org/fescuehollow/placement/EngineCoordinator.java
@@ -127,6 +127,7 @@
         return pump(now, orders);
     }
 
+    /** A server is crowded when a turn here takes longer than a load elsewhere. */
     private Optional<Quote> declined(long now, Work work) {
         if (mReign.isOver()) {
             return Optional.of(Quote.NONE);
@@ -134,25 +135,20 @@
         if (work.ask() == Ask.ALWAYS) {
             return Optional.empty();
         }
-        Quote quote = quote(now, work);
-        boolean held = work.adapter().map(this::isHeld).orElse(true);
-        boolean room = work.ask() == Ask.IF_ROOM && Double.isFinite(quote.price());
-        return !quote.crowded() && (held || room) ? Optional.empty() : Optional.of(quote);
+        double turn = mServiceTime.waitNanos(mRunning.size(), mQueue.size(), mPolicy.batch());
+        boolean crowded = turn > (mPolicy.model() ? mLoads.loadWaitNanos() : 0);
+        if (!crowded && work.adapter().map(this::isHeld).orElse(true)) {
+            return Optional.empty();
+        }
+        Quote quote = mLoads.quote(now, crowded, work, mQueue.ordered(), mPolicy);
+        boolean takes = work.ask() == Ask.IF_ROOM && !crowded && Double.isFinite(quote.price());
+        return takes ? Optional.empty() : Optional.of(quote);
     }
 
     private boolean isHeld(AdapterRef adapter) {
         return mSlots.holds(adapter) || mLoads.isComing(adapter);
     }
 
-    /** A server is crowded when a turn here takes longer than a load elsewhere. */
-    private Quote quote(long now, Work work) {
-        double turn = mServiceTime.waitNanos(mRunning.size(), mQueue.size(), mPolicy.batch());
-        boolean crowded = turn > (mPolicy.model() ? mLoads.loadWaitNanos() : 0);
-        double price =
-                work.adapter().isEmpty() ? 0 : mLoads.priceOfRoom(now, mQueue.ordered(), mPolicy);
-        return new Quote(crowded, price);
-    }
-
     private Problem fullProblem() {
         return shouldFindCapacity(
                 mPolicy.name(),
@@ -337,7 +333,7 @@
     }
 
     private void start(long now, Work work, List<Order> orders) {
-        work.adapter().ifPresent(a -> mSlots.pin(a, work.attempt(), now));
+        work.adapter().ifPresent(a -> mSlots.pin(a, work, now));
         mRunning.put(work.attempt(), new Running(work, now));
         boolean stalled = mStalled.remove(work.attempt());
         orders.add(new Order.Start(work, now - work.arrivedNanos(), stalled));
--- a/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
@@ -168,9 +168,15 @@
         orders.add(new Order.Unload(victim.get(), mFencing));
     }
 
-    /** The worth of the adapter that would go for another; zero for a free slot. */
-    double priceOfRoom(long now, List<Work> waiting, ServicePolicy policy) {
-        return mSlots.priceOfRoom(policy.slots(), adaptersOf(waiting)::contains, now);
+    /** What taking a request would cost; counts that its adapter was asked for in vain. */
+    Quote quote(long now, boolean crowded, Work work, List<Work> waiting, ServicePolicy policy) {
+        if (work.adapter().isEmpty()) {
+            return new Quote(crowded, 0, 0);
+        }
+        Set<AdapterRef> waitedFor = adaptersOf(waiting);
+        int loadsBefore = mWantedSince.size();
+        double price = mSlots.priceOfRoom(policy.slots(), loadsBefore, waitedFor::contains, now);
+        return new Quote(crowded, price, mSlots.askedInVain(work.adapter().get(), work, now));
     }
 
     private static Set<AdapterRef> adaptersOf(List<Work> waiting) {
--- a/core/src/main/java/org/fescuehollow/placement/PermitBank.java
+++ b/core/src/main/java/org/fescuehollow/placement/PermitBank.java
@@ -92,7 +92,7 @@
             return Optional.empty();
         }
         Optional<Permit> permit = fromOwn(now).or(() -> fromBorrowed(now));
-        permit.ifPresent(p -> mWants.granted(want));
+        permit.ifPresent(p -> mWants.granted(now, want));
         return permit;
     }
 
@@ -133,11 +133,14 @@
      * Lends a permit to another node.
      *
      * @param now the monotonic time in nanoseconds
-     * @return the permit, or empty if this node has none to spare
+     * @param need how much the other node's load needs it
+     * @return the permit, or empty if this node has none or needs it more
      */
-    public Optional<Permit> lend(long now) {
+    public Optional<Permit> lend(long now, Urgency need) {
         refill(now);
-        return isWanting(now) ? Optional.empty() : fromOwn(now);
+        boolean needsItMore =
+                mWants.urgency(now).filter(own -> own.compareTo(need) <= 0).isPresent();
+        return needsItMore ? Optional.empty() : fromOwn(now);
     }
 
     /**
@@ -151,13 +154,13 @@
     }
 
     /**
-     * Tells whether a load waits for a permit that this node doesn't have.
+     * Returns how much a load needs a permit that this node doesn't have.
      *
      * @param now the monotonic time in nanoseconds
-     * @return true if a permit was asked for lately in vain and no loan is at hand
+     * @return empty if no permit was asked for lately in vain, or a loan is at hand
      */
-    public boolean isWanting(long now) {
-        return mBorrowed.isEmpty() && !mWants.isEmpty(now);
+    public Optional<Urgency> need(long now) {
+        return mBorrowed.isEmpty() ? mWants.urgency(now) : Optional.empty();
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/placement/SlotTable.java
+++ b/core/src/main/java/org/fescuehollow/placement/SlotTable.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.placement;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 final class SlotTable {
     private final SortedMap<AdapterRef, Slot> mSlots = new TreeMap<>();
     private final AdapterUses mUses = new AdapterUses();
+    private final TeamShares mTeams = new TeamShares();
     private final Eviction mEviction;
 
     SlotTable(Eviction eviction) {
@@ -48,9 +50,21 @@
         return Optional.ofNullable(mSlots.get(adapter));
     }
 
-    void pin(AdapterRef adapter, String attempt, long now) {
-        mSlots.get(adapter).pin(attempt);
-        mUses.used(adapter, now);
+    void pin(AdapterRef adapter, Work work, long now) {
+        mSlots.get(adapter).pin(work.attempt());
+        mUses.used(adapter, work.uses(), worthOf(work, now), now);
+    }
+
+    /** A team that sends more than its share doesn't gain slots by it. */
+    private double worthOf(Work work, long now) {
+        mTeams.took(now, work.team(), work.weight());
+        return mTeams.worth(work.team());
+    }
+
+    /** Counts that an adapter was asked for that isn't here; returns the count. */
+    double askedInVain(AdapterRef adapter, Work work, long now) {
+        mUses.used(adapter, 0, worthOf(work, now), now);
+        return mUses.of(adapter).count();
     }
 
     void unpin(AdapterRef adapter, String attempt) {
@@ -69,7 +83,11 @@
     }
 
     Optional<AdapterRef> pickVictim(Predicate<AdapterRef> isWanted, long now) {
-        Map<AdapterRef, AdapterUse> evictable = new TreeMap<>();
+        return mEviction.pick(evictable(isWanted), now);
+    }
+
+    private Map<AdapterRef, AdapterUse> evictable(Predicate<AdapterRef> isWanted) {
+        Map<AdapterRef, AdapterUse> evictable = new HashMap<>();
         mSlots.forEach(
                 (adapter, slot) -> {
                     boolean idle = slot.state() == Slot.State.RESIDENT && !slot.isPinned();
@@ -77,7 +95,7 @@
                         evictable.put(adapter, mUses.of(adapter));
                     }
                 });
-        return mEviction.pick(evictable, now);
+        return evictable;
     }
 
     boolean hasForeignUse() {
@@ -88,13 +106,20 @@
         return mSlots.keySet().stream().filter(this::isResident).findFirst();
     }
 
-    /** The worth of the adapter that would go; zero for a free slot, infinite if none can go. */
-    double priceOfRoom(int limit, Predicate<AdapterRef> isWanted, long now) {
-        if (size() < limit) {
+    /**
+     * The worth of the adapter that would go once the loads before it have taken their room; zero
+     * for a free slot, infinite if none can go.
+     */
+    double priceOfRoom(int limit, int loadsBefore, Predicate<AdapterRef> isWanted, long now) {
+        int free = limit - size() - loadsBefore;
+        if (free > 0) {
             return 0;
         }
-        return pickVictim(isWanted, now)
-                .map(a -> mUses.of(a).agedCount(now))
+        return evictable(isWanted).values().stream()
+                .map(u -> u.agedCount(now))
+                .sorted()
+                .skip(-free)
+                .findFirst()
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
--- a/core/src/main/java/org/fescuehollow/placement/WantQueue.java
+++ b/core/src/main/java/org/fescuehollow/placement/WantQueue.java
@@ -7,22 +7,18 @@
 import java.util.Optional;
 
 /**
- * Loads that wait for a permit, in the order in which they should get one.
+ * Loads that wait for a permit, the most urgent first. A want that isn't repeated is forgotten.
  *
- * <p>The higher class goes first; within a class, teams share permits by weight, and within a team
- * the load goes first whose requests have waited longest in sum. A want that isn't repeated is
- * forgotten.
- *
- * <p>Invariant: a team that asks for many loads delays only its own. Not safe for concurrent use.
+ * <p>Invariant: a team that asks for many loads delays the others no longer than until it is over
+ * its share. Not safe for concurrent use.
  */
 final class WantQueue {
-    private static final long FRESH_NANOS = Duration.ofMillis(60).toNanos();
+    private static final long FRESH_NANOS = Duration.ofMillis(120).toNanos();
 
     private final Map<String, Seen> mWants = new HashMap<>();
-    private final Map<String, Double> mFinish = new HashMap<>();
+    private final TeamShares mShares = new TeamShares();
     private Optional<Want> mFirst = Optional.empty();
     private long mFirstNanos;
-    private double mVirtualTime;
 
     /** A want and when it was last repeated. */
     private record Seen(Want want, long seenNanos) {}
@@ -37,15 +33,20 @@
      * at the same time goes first if nothing known goes before it.
      */
     boolean isFirst(long now, Want want) {
-        Comparator<Want> order = order();
+        Optional<Want> first = first(now);
+        if (first.isPresent() && order().compare(want, first.get()) < 0) {
+            mFirst = Optional.of(want);
+        }
+        return mFirst.filter(f -> f.key().equals(want.key())).isPresent();
+    }
+
+    private Optional<Want> first(long now) {
         if (mFirst.isEmpty() || mFirstNanos != now) {
             forget(now);
             mFirstNanos = now;
-            mFirst = mWants.values().stream().map(Seen::want).min(order);
-        } else if (order.compare(want, mFirst.get()) < 0) {
-            mFirst = Optional.of(want);
+            mFirst = mWants.values().stream().map(Seen::want).min(order());
         }
-        return mFirst.filter(f -> f.key().equals(want.key())).isPresent();
+        return mFirst;
     }
 
     private void forget(long now) {
@@ -53,27 +54,21 @@
     }
 
     private Comparator<Want> order() {
-        return Comparator.comparing(Want::priority)
-                .thenComparingDouble(w -> startOf(w.team()))
-                .thenComparing(Comparator.comparingDouble(Want::waitedMillis).reversed())
-                .thenComparing(Want::key);
+        return Comparator.comparing(this::urgencyOf).thenComparing(Want::key);
     }
 
-    private double startOf(String team) {
-        return Math.max(mVirtualTime, mFinish.getOrDefault(team, 0.0));
+    private Urgency urgencyOf(Want want) {
+        return new Urgency(mShares.isOver(want.team()), want.priority(), want.waitedMillis());
     }
 
-    void granted(Want want) {
+    void granted(long now, Want want) {
         mWants.remove(want.key());
         mFirst = Optional.empty();
-        double start = startOf(want.team());
-        mFinish.put(want.team(), start + 1.0 / Math.max(1, want.weight()));
-        mVirtualTime = Math.max(mVirtualTime, start);
-        mFinish.values().removeIf(f -> f <= mVirtualTime);
+        mShares.took(now, want.team(), want.weight());
     }
 
-    boolean isEmpty(long now) {
-        forget(now);
-        return mWants.isEmpty();
+    /** Returns the urgency of the first want. */
+    Optional<Urgency> urgency(long now) {
+        return first(now).map(this::urgencyOf);
     }
 }
--- a/core/src/main/java/org/fescuehollow/placement/Work.java
+++ b/core/src/main/java/org/fescuehollow/placement/Work.java
@@ -17,6 +17,7 @@
  * @param arrivedNanos when it arrived here, by the coordinator's monotonic clock
  * @param deadlineNanos when its start is too late, by the same clock
  * @param ask how firmly it asks to be taken
+ * @param uses how often its adapter was asked for elsewhere, earlier uses counting less
  * @param suspect true if a backend server crashed while it ran the same request
  */
 public record Work(
@@ -28,6 +29,7 @@
         long arrivedNanos,
         long deadlineNanos,
         Ask ask,
+        double uses,
         boolean suspect) {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
+++ b/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
@@ -44,6 +44,7 @@
     private final Map<Vm, Quote> mQuotes = new LinkedHashMap<>();
     private final Deque<Step.Submit> mNext = new ArrayDeque<>();
     private Vm mCurrent;
+    private double mUses;
     private int mAttempts;
     private int mBroken;
     private boolean mInsisted;
@@ -56,8 +57,9 @@
          *
          * @param server the backend server
          * @param ask how firmly to ask
+         * @param uses how often the adapter was asked for, as far as the servers asked know
          */
-        record Submit(Vm server, Ask ask) implements Step {}
+        record Submit(Vm server, Ask ask, double uses) implements Step {}
 
         /**
          * Answer the caller with a problem.
@@ -103,7 +105,7 @@
         mQuotes.clear();
         mInsisted = false;
         if (servers.size() > 1) {
-            servers.forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_RESIDENT)));
+            servers.forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_RESIDENT, 0)));
         } else {
             insistOn(servers.get(0));
         }
@@ -111,13 +113,13 @@
 
     private void insistOn(Vm server) {
         mInsisted = true;
-        mNext.add(new Step.Submit(server, Ask.ALWAYS));
+        mNext.add(new Step.Submit(server, Ask.ALWAYS, 0));
     }
 
     private Step next() {
         Step.Submit step = mNext.remove();
         mCurrent = step.server();
-        return step;
+        return new Step.Submit(step.server(), step.ask(), mUses);
     }
 
     /**
@@ -128,6 +130,7 @@
      */
     public Step declined(Quote quote) {
         mQuotes.put(mCurrent, quote);
+        mUses = Math.max(mUses, quote.uses());
         if (mNext.isEmpty()) {
             if (mInsisted) {
                 return giveUp(shouldFindCapacity(mService, "all its servers are crowded", 1));
@@ -146,7 +149,7 @@
         cheapest.stream()
                 .filter(s -> !mQuotes.get(s).crowded())
                 .limit(MAX_ROOM_ASKED)
-                .forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_ROOM)));
+                .forEach(s -> mNext.add(new Step.Submit(s, Ask.IF_ROOM, 0)));
         insistOn(cheapest.get(0));
     }
 
--- a/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsStore.java
@@ -25,7 +25,7 @@
  */
 public final class SettingsStore {
     private final SortedMap<String, PathState> mPaths = new TreeMap<>();
-    private SettingsView mView = SettingsView.EMPTY;
+    private final SettingsViewBuilder mView = new SettingsViewBuilder();
     private final long[] mBuckets = new long[SettingsSpread.BUCKETS];
 
     /**
@@ -36,50 +36,51 @@
      */
     public boolean merge(SettingsEntry entry) {
         PathState old = mPaths.get(entry.path());
-        PathState merged = old == null ? first(entry) : next(old, entry);
+        if (old != null && !isNews(old, entry)) {
+            return false;
+        }
+        Parsed parsed = parse(entry);
+        PathState merged = next(old, entry, parsed.refusal());
         if (merged.equals(old)) {
             return false;
         }
         mPaths.put(entry.path(), merged);
         mBuckets[bucketOf(entry.path())] ^= (old == null ? 0 : hash(old)) ^ hash(merged);
-        Optional<SettingsEntry> before = old == null ? Optional.empty() : old.accepted();
-        if (!merged.accepted().equals(before)) {
-            mView = mView.with(merged.accepted().orElseThrow());
+        if (parsed.refusal().isEmpty()) {
+            mView.put(entry.path(), parsed.value());
         }
         return true;
     }
 
-    private static PathState first(SettingsEntry entry) {
-        Optional<Problem> refusal = refusalOf(entry);
-        return new PathState(
-                refusal.isPresent() ? Optional.empty() : Optional.of(entry), entry, refusal);
+    /** What became of an entry's text: a value, no value for a deletion, or a refusal. */
+    private record Parsed(Optional<Object> value, Optional<Problem> refusal) {}
+
+    private static Parsed parse(SettingsEntry entry) {
+        try {
+            return new Parsed(
+                    entry.text().map(t -> SettingsParser.parse(entry.path(), t)), Optional.empty());
+        } catch (FescuehollowException e) {
+            return new Parsed(Optional.empty(), Optional.of(e.problem()));
+        }
     }
 
-    private static PathState next(PathState old, SettingsEntry entry) {
+    private static boolean isNews(PathState old, SettingsEntry entry) {
         Revision accepted = old.accepted().map(SettingsEntry::revision).orElse(Revision.NONE);
-        boolean newest = entry.revision().isAfter(old.newest().revision());
-        if (!newest && !entry.revision().isAfter(accepted)) {
-            return old;
+        return entry.revision().isAfter(old.newest().revision())
+                || entry.revision().isAfter(accepted);
+    }
+
+    private static PathState next(PathState old, SettingsEntry entry, Optional<Problem> refusal) {
+        if (old == null) {
+            return new PathState(
+                    refusal.isPresent() ? Optional.empty() : Optional.of(entry), entry, refusal);
         }
-        Optional<Problem> refusal = refusalOf(entry);
         Optional<SettingsEntry> inForce = refusal.isPresent() ? old.accepted() : Optional.of(entry);
-        return newest
+        return entry.revision().isAfter(old.newest().revision())
                 ? new PathState(inForce, entry, refusal)
                 : new PathState(inForce, old.newest(), old.refusal());
     }
 
-    private static Optional<Problem> refusalOf(SettingsEntry entry) {
-        if (entry.text().isEmpty()) {
-            return Optional.empty();
-        }
-        try {
-            SettingsParser.parse(entry.path(), entry.text().get());
-            return Optional.empty();
-        } catch (FescuehollowException e) {
-            return Optional.of(e.problem());
-        }
-    }
-
     private static long hash(PathState state) {
         long accepted = state.accepted().map(a -> a.revision().number()).orElse(0L);
         return Hashing.komihash5_0()
@@ -124,7 +125,7 @@
      * @return a view that never changes
      */
     public SettingsView view() {
-        return mView;
+        return mView.view();
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/settings/SettingsView.java
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsView.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedSet;
@@ -24,7 +23,7 @@
     private final StorePolicy mStore;
     private final Map<String, String> mTeamByKeyHash;
 
-    private SettingsView(
+    SettingsView(
             Map<String, TeamAccess> access,
             Map<String, TeamTraffic> traffic,
             Map<String, ServicePolicy> services,
@@ -37,50 +36,6 @@
         mTeamByKeyHash = teamByKeyHash;
     }
 
-    SettingsView with(SettingsEntry entry) {
-        SettingsPath kind = SettingsPath.of(entry.path()).orElseThrow();
-        String subject = kind.subject(entry.path());
-        Optional<Object> value = entry.text().map(t -> SettingsParser.parse(entry.path(), t));
-        return switch (kind) {
-            case TEAM_ACCESS -> withAccess(subject, value.map(TeamAccess.class::cast));
-            case TEAM_TRAFFIC ->
-                    new SettingsView(
-                            mAccess,
-                            replaced(mTraffic, subject, value.map(TeamTraffic.class::cast)),
-                            mServices,
-                            mStore,
-                            mTeamByKeyHash);
-            case SERVICE ->
-                    new SettingsView(
-                            mAccess,
-                            mTraffic,
-                            replaced(mServices, subject, value.map(ServicePolicy.class::cast)),
-                            mStore,
-                            mTeamByKeyHash);
-            case STORE ->
-                    new SettingsView(
-                            mAccess,
-                            mTraffic,
-                            mServices,
-                            value.map(StorePolicy.class::cast).orElse(StorePolicy.CAUTIOUS),
-                            mTeamByKeyHash);
-        };
-    }
-
-    private SettingsView withAccess(String team, Optional<TeamAccess> access) {
-        Map<String, TeamAccess> all = replaced(mAccess, team, access);
-        Map<String, String> keys = new HashMap<>(mTeamByKeyHash);
-        keys.values().removeIf(team::equals);
-        access.ifPresent(a -> a.keyHashes().forEach(h -> keys.put(h, team)));
-        return new SettingsView(all, mTraffic, mServices, mStore, keys);
-    }
-
-    private static <T> Map<String, T> replaced(Map<String, T> old, String key, Optional<T> value) {
-        Map<String, T> copy = new HashMap<>(old);
-        value.ifPresentOrElse(v -> copy.put(key, v), () -> copy.remove(key));
-        return copy;
-    }
-
     /**
      * Finds the team of a key.
      *
--- a/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
+++ b/core/src/test/java/org/fescuehollow/placement/FakeEngine.java
@@ -82,6 +82,7 @@
                         mNow,
                         deadline,
                         Ask.values()[pick % 3],
+                        0,
                         pick % 11 == 0);
         mOpen.put(id, work);
         carryOut(mCoordinator.submit(mNow, work));
--- a/server/src/main/java/org/fescuehollow/server/call/CoordinatorPort.java
+++ b/server/src/main/java/org/fescuehollow/server/call/CoordinatorPort.java
@@ -1,7 +1,6 @@
 package org.fescuehollow.server.call;
 
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.placement.Ask;
 
 /** Reaches the coordinator of a backend server, here or on another node. Used on the loop. */
 public interface CoordinatorPort {
@@ -10,9 +9,9 @@
      *
      * @param server the backend server
      * @param call the call
-     * @param ask how firmly to ask
+     * @param firmness how firmly to ask
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    CallHandle submit(Vm server, Call call, Ask ask, AnswerSink sink);
+    CallHandle submit(Vm server, Call call, Firmness firmness, AnswerSink sink);
 }
--- a/server/src/main/java/org/fescuehollow/server/coordination/BudgetService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/BudgetService.java
@@ -19,9 +19,11 @@
 import org.fescuehollow.placement.Permit;
 import org.fescuehollow.placement.PermitBank;
 import org.fescuehollow.placement.StoreShare;
+import org.fescuehollow.placement.Urgency;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.loop.NodeLoop;
+import org.fescuehollow.server.peer.PeerCodec;
 import org.fescuehollow.server.peer.PeerService;
 import org.fescuehollow.server.settings.SettingsService;
 import org.fescuehollow.wire.PeerProto;
@@ -116,7 +118,8 @@
         long now = mLoop.now();
         mAsked.values().removeIf(t -> now - t >= ANSWER_NANOS);
         mBank.takeReturns(now).forEach(this::giveBack);
-        if (mBank.isWanting(now) && mAsked.isEmpty()) {
+        Optional<Urgency> need = mBank.need(now);
+        if (need.isPresent() && mAsked.isEmpty()) {
             long key = mRequests;
             mFleet.liveNodes().stream()
                     .filter(n -> !n.equals(mConfig.nodeId()))
@@ -124,22 +127,27 @@
                             Comparator.comparingLong(
                                     n -> Rendezvous.weight(key, Rendezvous.hash(n))))
                     .limit(ASKED_AT_ONCE)
-                    .forEach(n -> ask(n, now));
+                    .forEach(n -> ask(n, need.get(), now));
         }
     }
 
-    private void ask(String node, long now) {
+    private void ask(String node, Urgency need, long now) {
         long request = ++mRequests;
         mAsked.put(request, now);
         mPeers.send(
                 node,
                 PeerProto.Frame.newBuilder()
-                        .setBorrowPermit(PeerProto.BorrowPermit.newBuilder().setRequest(request))
+                        .setBorrowPermit(
+                                PeerProto.BorrowPermit.newBuilder()
+                                        .setRequest(request)
+                                        .setOverShare(need.overShare())
+                                        .setPriority(need.priority().ordinal())
+                                        .setWaitedMillis(need.waitedMillis()))
                         .build());
     }
 
     private void asked(String node, PeerProto.Frame frame, Consumer<PeerProto.Frame> reply) {
-        Optional<Permit> loan = mBank.lend(mLoop.now());
+        Optional<Permit> loan = mBank.lend(mLoop.now(), PeerCodec.urgency(frame.getBorrowPermit()));
         PeerProto.LentPermit.Builder answer =
                 PeerProto.LentPermit.newBuilder()
                         .setRequest(frame.getBorrowPermit().getRequest())
--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
@@ -11,7 +11,6 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.Eviction;
 import org.fescuehollow.placement.Quote;
@@ -19,6 +18,7 @@
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.loop.NodeLoop;
@@ -175,18 +175,18 @@
      *
      * @param server the backend server's id
      * @param call the call
-     * @param ask how firmly the sender asks
+     * @param firmness how firmly the sender asks
      * @param sink receives the answer; declined if this node doesn't coordinate the server
      * @return withdraws the attempt
      */
-    public CallHandle submit(String server, Call call, Ask ask, AnswerSink sink) {
+    public CallHandle submit(String server, Call call, Firmness firmness, AnswerSink sink) {
         ServerPost post = mPosts.get(server);
         if (post == null) {
             sink.declined(Quote.NONE);
             return () -> {};
         }
         String attempt = mConfig.nodeId() + "/" + mIncarnation + "/" + mAttempts++;
-        return post.submit(attempt, call, ask, sink);
+        return post.submit(attempt, call, firmness, sink);
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinatorService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinatorService.java
@@ -4,12 +4,12 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.call.CoordinatorPort;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.peer.PeerService;
@@ -46,15 +46,15 @@
     }
 
     @Override
-    public CallHandle submit(Vm server, Call call, Ask ask, AnswerSink sink) {
+    public CallHandle submit(Vm server, Call call, Firmness firmness, AnswerSink sink) {
         Optional<String> node = mFleet.view().coordinator(server).map(Vm::id);
         if (node.isEmpty()) {
             sink.declined(Quote.NONE);
             return () -> {};
         }
         return node.get().equals(mConfig.nodeId())
-                ? mLocal.submit(server.id(), call, ask, sink)
-                : mPeers.submit(node.get(), server.id(), call, ask, sink);
+                ? mLocal.submit(server.id(), call, firmness, sink)
+                : mPeers.submit(node.get(), server.id(), call, firmness, sink);
     }
 
     @Override
--- a/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/ServerPost.java
@@ -19,7 +19,6 @@
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.EngineCoordinator;
 import org.fescuehollow.placement.EngineReport;
 import org.fescuehollow.placement.Order;
@@ -30,6 +29,7 @@
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.settings.ServicePolicy;
 import org.fescuehollow.suspects.CrashSuspects;
 
@@ -93,7 +93,7 @@
         return mCoordinator.isIdle();
     }
 
-    CallHandle submit(String attempt, Call call, Ask ask, AnswerSink sink) {
+    CallHandle submit(String attempt, Call call, Firmness firmness, AnswerSink sink) {
         long now = now();
         long digest = call.digest();
         int crashes = Math.max(call.crashes(), mContext.suspects().count(digest));
@@ -113,7 +113,8 @@
                         call.adapter(),
                         now,
                         now + Duration.ofMillis(call.patienceMillis()).toNanos(),
-                        ask,
+                        firmness.ask(),
+                        firmness.uses(),
                         crashes > 0);
         mAttempts.put(
                 attempt,
--- a/server/src/main/java/org/fescuehollow/server/front/CallerSink.java
+++ b/server/src/main/java/org/fescuehollow/server/front/CallerSink.java
@@ -16,6 +16,9 @@
  * and without the final event, and is then reset. Used on the node's loop.
  */
 final class CallerSink implements AnswerSink {
+    /** Error code of RFC 9113; without one a reset stream might pass for a whole one. */
+    private static final long INTERNAL_ERROR = 2;
+
     static final String SERVER_HEADER = "X-Served-By";
     static final String STALLED_HEADER = "X-Adapter-Stalled";
     static final String WAITED_HEADER = "X-Waited-Micros";
@@ -87,7 +90,7 @@
                 Buffer.buffer("event: error\ndata: ")
                         .appendBuffer(ProblemWriter.write(problem, mId))
                         .appendString("\n\n");
-        response().write(event).onComplete(v -> response().reset());
+        response().write(event).onComplete(v -> response().reset(INTERNAL_ERROR));
     }
 
     /** Ends the sink because the caller is gone; returns false if it had ended before. */
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerCodec.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerCodec.java
@@ -15,8 +15,10 @@
 import org.fescuehollow.model.Priority;
 import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.Quote;
+import org.fescuehollow.placement.Urgency;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.Call;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.settings.Revision;
 import org.fescuehollow.settings.SettingsEntry;
 import org.fescuehollow.settings.SettingsSpread;
@@ -65,8 +67,6 @@
      * @throws IllegalArgumentException if a member is out of range
      */
     public static Call call(PeerProto.Call m) {
-        Priority[] priorities = Priority.values();
-        requireBetween("priority", m.getPriority(), 0, priorities.length - 1L);
         Optional<AdapterRef> adapter =
                 m.getAdapterName().isEmpty()
                         ? Optional.empty()
@@ -75,7 +75,7 @@
                 m.getId(),
                 m.getTeam(),
                 m.getWeight(),
-                priorities[m.getPriority()],
+                priority(m.getPriority()),
                 m.getService(),
                 adapter,
                 m.getMethod(),
@@ -127,6 +127,22 @@
                 m.getCrashes());
     }
 
+    /**
+     * Decodes how much a load needs a permit.
+     *
+     * @param m the message
+     * @return the urgency
+     * @throws IllegalArgumentException if the priority is out of range
+     */
+    public static Urgency urgency(PeerProto.BorrowPermit m) {
+        return new Urgency(m.getOverShare(), priority(m.getPriority()), m.getWaitedMillis());
+    }
+
+    private static Priority priority(int number) {
+        Priority[] values = Priority.values();
+        return values[(int) requireBetween("priority", number, 0, values.length - 1L)];
+    }
+
     /**
      * Encodes a quote.
      *
@@ -134,7 +150,11 @@
      * @return the message
      */
     public static PeerProto.Declined quote(Quote q) {
-        return PeerProto.Declined.newBuilder().setCrowded(q.crowded()).setPrice(q.price()).build();
+        return PeerProto.Declined.newBuilder()
+                .setCrowded(q.crowded())
+                .setPrice(q.price())
+                .setUses(q.uses())
+                .build();
     }
 
     /**
@@ -144,19 +164,20 @@
      * @return the quote
      */
     public static Quote quote(PeerProto.Declined m) {
-        return new Quote(m.getCrowded(), m.getPrice());
+        return new Quote(m.getCrowded(), m.getPrice(), m.getUses());
     }
 
     /**
      * Decodes how firmly an attempt asks.
      *
-     * @param number the number on the wire
-     * @return the way of asking
+     * @param m the message
+     * @return how firmly it asks
      * @throws IllegalArgumentException if the number is out of range
      */
-    public static Ask ask(int number) {
+    public static Firmness firmness(PeerProto.Submit m) {
         Ask[] values = Ask.values();
-        return values[(int) requireBetween("ask", number, 0, values.length - 1L)];
+        int ask = (int) requireBetween("ask", m.getAsk(), 0, values.length - 1L);
+        return new Firmness(values[ask], m.getUses());
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerRequests.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerRequests.java
@@ -1,10 +1,10 @@
 package org.fescuehollow.server.peer;
 
 import java.util.function.Consumer;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.wire.PeerProto;
 
 /** Serves what other nodes ask of this one. Called on the node's loop. */
@@ -14,11 +14,11 @@
      *
      * @param server the backend server's id
      * @param call the call
-     * @param ask how firmly the sender asks
+     * @param firmness how firmly the sender asks
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    CallHandle submit(String server, Call call, Ask ask, AnswerSink sink);
+    CallHandle submit(String server, Call call, Firmness firmness, AnswerSink sink);
 
     /**
      * Serves a call whose ticket this node answers for.
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
@@ -28,11 +28,11 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
-import org.fescuehollow.placement.Ask;
 import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.fleet.FleetService;
 import org.fescuehollow.server.loop.NodeLoop;
@@ -58,7 +58,7 @@
             new EnumMap<>(PeerProto.Frame.BodyCase.class);
     private FleetService mFleet;
     private Channel mListener;
-    private Submitter mSubmitter = (server, call, ask, sink) -> refuse(sink);
+    private Submitter mSubmitter = (server, call, firmness, sink) -> refuse(sink);
     private TicketRunner mTicketRunner = (ticket, call, sink) -> refuse(sink);
 
     /** Serves an attempt for another node. */
@@ -69,11 +69,11 @@
          *
          * @param server the backend server's id
          * @param call the call
-         * @param ask how firmly the sender asks
+         * @param firmness how firmly the sender asks
          * @param sink receives the answer
          * @return withdraws the attempt
          */
-        CallHandle submit(String server, Call call, Ask ask, AnswerSink sink);
+        CallHandle submit(String server, Call call, Firmness firmness, AnswerSink sink);
     }
 
     /** Serves a call with a ticket for another node. */
@@ -193,15 +193,17 @@
      * @param node the node's id
      * @param server the backend server's id
      * @param call the call
-     * @param ask how firmly to ask
+     * @param firmness how firmly to ask
      * @param sink receives the answer
      * @return withdraws the attempt
      */
-    public CallHandle submit(String node, String server, Call call, Ask ask, AnswerSink sink) {
+    public CallHandle submit(
+            String node, String server, Call call, Firmness firmness, AnswerSink sink) {
         PeerProto.Submit submit =
                 PeerProto.Submit.newBuilder()
                         .setServer(server)
-                        .setAsk(ask.ordinal())
+                        .setAsk(firmness.ask().ordinal())
+                        .setUses(firmness.uses())
                         .setCall(PeerCodec.call(call))
                         .build();
         return call(node, PeerProto.Frame.newBuilder().setSubmit(submit), sink);
@@ -295,8 +297,8 @@
     /** Serves other nodes by way of the registered services. */
     private final class Requests implements PeerRequests {
         @Override
-        public CallHandle submit(String server, Call call, Ask ask, AnswerSink sink) {
-            return mSubmitter.submit(server, call, ask, sink);
+        public CallHandle submit(String server, Call call, Firmness firmness, AnswerSink sink) {
+            return mSubmitter.submit(server, call, firmness, sink);
         }
 
         @Override
--- a/server/src/main/java/org/fescuehollow/server/peer/ServedLink.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/ServedLink.java
@@ -55,7 +55,7 @@
                 call,
                 sink ->
                         mRequests.submit(
-                                submit.getServer(), call, PeerCodec.ask(submit.getAsk()), sink));
+                                submit.getServer(), call, PeerCodec.firmness(submit), sink));
     }
 
     private void runTicket(long stream, PeerProto.RunTicket run) {
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -9,6 +9,7 @@
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.call.CoordinatorPort;
+import org.fescuehollow.server.call.Firmness;
 import org.fescuehollow.server.metrics.Metrics;
 
 /**
@@ -52,7 +53,11 @@
         if (step instanceof AttemptPlan.Step.Submit submit) {
             int number = ++mAttempt;
             CallHandle handle =
-                    mPort.submit(submit.server(), mCall, submit.ask(), new AttemptSink(number));
+                    mPort.submit(
+                            submit.server(),
+                            mCall,
+                            new Firmness(submit.ask(), submit.uses()),
+                            new AttemptSink(number));
             if (number == mAttempt && !mOver) {
                 mCurrent = handle;
             }
