Administration API, status, explain and trial

Cause: operators could only read the whole dump. Change: one route for each question, described by an OpenAPI file that a test holds against the routes; a trial tells what a change would take away; status and explain on the command line. Conclusion: read-only, as publishing stays with the platform.

--- a/cli/src/main/java/org/fescuehollow/cli/Command.java
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -78,16 +78,53 @@
     DUMP("dump", "print the state of a running process as JSON") {
         @Override
         void configure(Subparser p) {
-            p.addArgument("--admin").required(true).help("the operators' port, HOST:PORT");
-            p.addArgument("--key").setDefault("").help("the operators' key, if one is set");
+            admin(p);
         }
 
         @Override
         int run(Namespace o, PrintStream out, PrintStream err) {
-            return new DumpCommand(out).run(o.getString("admin"), o.getString("key"));
+            return ask(o, out, "/dump", true);
+        }
+    },
+    /** Prints one screen of figures. */
+    STATUS("status", "is anything refused, stalled, cut off or behind?") {
+        @Override
+        void configure(Subparser p) {
+            admin(p);
+            p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            return ask(o, out, "/v1/status", o.getBoolean("json"));
+        }
+    },
+    /** Explains a request's way. */
+    EXPLAIN("explain", "why would this request go where it goes?") {
+        @Override
+        void configure(Subparser p) {
+            admin(p);
+            p.addArgument("--team").required(true).help("the team that sends it");
+            p.addArgument("--model").required(true).help("adapter@version");
+            p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        }
+
+        @Override
+        int run(Namespace o, PrintStream out, PrintStream err) {
+            String query = "?team=" + o.getString("team") + "&model=" + o.getString("model");
+            return ask(o, out, "/v1/explain" + query, o.getBoolean("json"));
         }
     };
 
+    private static void admin(Subparser p) {
+        p.addArgument("--admin").required(true).help("the operators' port, HOST:PORT");
+        p.addArgument("--key").setDefault("").help("the operators' key, if one is set");
+    }
+
+    private static int ask(Namespace o, PrintStream out, String path, boolean json) {
+        return new StatusCommand(out).run(o.getString("admin"), o.getString("key"), path, json);
+    }
+
     private final String mWord;
     private final String mHelp;
 
--- a/core/src/main/java/org/fescuehollow/error/ErrorCode.java
+++ b/core/src/main/java/org/fescuehollow/error/ErrorCode.java
@@ -41,7 +41,7 @@
     /** The node is stopping. */
     STOPPING(503),
     /** Settings or a command line are invalid. */
-    INVALID_SETTINGS(500),
+    INVALID_SETTINGS(422),
     /** A platform service or another node can't be reached. */
     UNREACHABLE(503),
     /** A defect of this program. */
--- a/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
+++ b/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
@@ -3,6 +3,7 @@
 import static org.fescuehollow.error.ShouldCarryKnownKey.shouldCarryKnownKey;
 import static org.fescuehollow.error.ShouldNameAllowedTarget.shouldNameAllowedTarget;
 
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -11,8 +12,10 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.fescuehollow.error.FescuehollowException;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.server.config.NodeConfig;
@@ -99,18 +102,41 @@
             ProblemWriter.answer(request.response(), shouldCarryKnownKey(), "");
             return;
         }
+        try {
+            answer(request);
+        } catch (FescuehollowException e) {
+            ProblemWriter.answer(request.response(), e.problem(), "");
+        }
+    }
+
+    private void answer(HttpServerRequest request) {
+        Optional<AdminRoute> route = AdminRoute.of(request.path());
+        if (route.isPresent()) {
+            json(request, route.get().answer(new AdminView(mKernel, mConfig), request));
+            return;
+        }
         switch (request.path()) {
             case "/metrics" -> text(request, 200, mMetrics.text());
-            case "/dump" ->
-                    request.response()
-                            .putHeader("Content-Type", "application/json")
-                            .end(Json.write(dumpAll()));
-            default ->
-                    ProblemWriter.answer(
-                            request.response(), shouldNameAllowedTarget(request.path()), "");
+            case "/dump" -> json(request, dumpAll());
+            case "/openapi.json" -> json(request, Json.read("openapi", Resources.openApi()));
+            case "/v1/trial" -> request.body().onSuccess(body -> trial(request, body));
+            default -> throw new FescuehollowException(shouldNameAllowedTarget(request.path()));
         }
     }
 
+    private void trial(HttpServerRequest request, Buffer body) {
+        try {
+            String path = request.getParam("path", "");
+            json(request, new AdminView(mKernel, mConfig).trial(path, body.toString()));
+        } catch (FescuehollowException e) {
+            ProblemWriter.answer(request.response(), e.problem(), "");
+        }
+    }
+
+    private static void json(HttpServerRequest request, Object body) {
+        request.response().putHeader("Content-Type", "application/json").end(Json.write(body));
+    }
+
     private boolean isOperator(HttpServerRequest request) {
         String header = request.getHeader("Authorization");
         return mConfig.operatorKeyHash()
--- a/server/src/main/java/org/fescuehollow/server/fleet/FleetService.java
+++ b/server/src/main/java/org/fescuehollow/server/fleet/FleetService.java
@@ -148,6 +148,15 @@
         return mView;
     }
 
+    /**
+     * Returns how long ago the platform's list last answered this node.
+     *
+     * @return milliseconds; -1 if it never did
+     */
+    public long platformAgeMillis() {
+        return mPoll.map(LongPoll::ageMillis).orElse(-1L);
+    }
+
     @Override
     public void stop() {
         mLoop.run(() -> mPoll.ifPresent(LongPoll::stop));
@@ -158,7 +167,7 @@
         SortedMap<String, Object> out = new TreeMap<>();
         out.put("revision", mVms.revision());
         out.put("platform_reached", mPoll.map(LongPoll::isReached).orElse(false));
-        out.put("platform_age_ms", mPoll.map(LongPoll::ageMillis).orElse(-1L));
+        out.put("platform_age_ms", platformAgeMillis());
         out.put("live_nodes", mLiveNodes);
         SortedMap<String, Object> servers = new TreeMap<>();
         mVms.vms().stream()
--- a/server/src/main/java/org/fescuehollow/server/settings/SettingsService.java
+++ b/server/src/main/java/org/fescuehollow/server/settings/SettingsService.java
@@ -142,6 +142,15 @@
         return mStore;
     }
 
+    /**
+     * Returns how long ago the platform's service last answered this node.
+     *
+     * @return milliseconds; -1 if this node doesn't watch it, or it never answered
+     */
+    public long platformAgeMillis() {
+        return mPoll.map(LongPoll::ageMillis).orElse(-1L);
+    }
+
     @Override
     public void stop() {
         mLoop.run(this::unwatch);
@@ -157,7 +166,7 @@
         out.put("platform_revision", mPlatformRevision);
         out.put("watching", mPoll.isPresent());
         out.put("platform_reached", mPoll.map(LongPoll::isReached).orElse(false));
-        out.put("platform_age_ms", mPoll.map(LongPoll::ageMillis).orElse(-1L));
+        out.put("platform_age_ms", platformAgeMillis());
         return out;
     }
 
