--- a/bench/src/main/java/org/fescuehollow/bench/capacity/MembershipLoad.java
+++ b/bench/src/main/java/org/fescuehollow/bench/capacity/MembershipLoad.java
@@ -12,7 +12,7 @@
 /** Measures the membership protocol's cost for a node, in virtual time. Used from one thread. */
 final class MembershipLoad {
     private static final long TICK_NANOS = Duration.ofMillis(100).toNanos();
-    private static final int WARM_SECONDS = 60;
+    private static final int WARM_SECONDS = 300;
     private static final int SECONDS = 60;
     private static final int DOMAINS = 5;
     private static final int UDP_HEADER_BYTES = 28;
@@ -59,7 +59,7 @@
     int secondsToAgreeAfterLosing(int lost) {
         run(WARM_SECONDS);
         List.copyOf(mNodes.keySet()).subList(0, lost).forEach(mNodes::remove);
-        for (int s = 1; s <= 2 * WARM_SECONDS; s++) {
+        for (int s = 1; s <= WARM_SECONDS; s++) {
             run(1);
             if (agree()) {
                 return s;
--- /dev/null
+++ b/bench/src/main/java/org/fescuehollow/bench/cost/CostBench.java
@@ -0,0 +1,117 @@
+package org.fescuehollow.bench.cost;
+
+import io.vertx.core.Vertx;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.Locale;
+import org.fescuehollow.server.FescuehollowServer;
+import org.fescuehollow.server.config.NodeConfig;
+import org.fescuehollow.standins.Deployment;
+import org.fescuehollow.standins.EngineOptions;
+
+/**
+ * Measures what an entry process adds to the first token and between tokens, over loopback.
+ *
+ * <p>Each rate is run against the engine stand-in directly and through the process, in one run.
+ * Used from one thread.
+ */
+public final class CostBench {
+    private static final int WORDS = 230;
+    private static final int SECONDS = 10;
+    private static final long TOKEN_MILLIS = 10;
+    private static final List<Double> RATES = List.of(9.0, 90.0);
+    private static final double BYTES_PER_MEGABYTE = 1 << 20;
+
+    private final PrintStream mOut;
+
+    /**
+     * Creates the benchmark.
+     *
+     * @param out where the table goes
+     */
+    public CostBench(PrintStream out) {
+        mOut = out;
+    }
+
+    /** Runs everything and prints a table. */
+    public void run() {
+        EngineOptions options = new EngineOptions(8, TOKEN_MILLIS, false);
+        try (Deployment stands = Deployment.open(1, options, 50)) {
+            stands.settings()
+                    .publish(
+                            "services/assistants",
+                            "kind: model\nslots: 8\nbatch: 1000\nqueue: 1000\n");
+            FescuehollowServer server =
+                    FescuehollowServer.of(NodeConfig.parse("bench", stands.nodeYaml()));
+            server.start();
+            Vertx vertx = Vertx.vertx();
+            try {
+                measure(vertx, server, stands);
+            } finally {
+                server.stop();
+                vertx.close().toCompletionStage().toCompletableFuture().join();
+            }
+        }
+    }
+
+    private void measure(Vertx vertx, FescuehollowServer server, Deployment stands) {
+        int direct = stands.engines().get(0).port();
+        awaitAdapter(vertx, server.callersPort());
+        mOut.printf(
+                "%-9s %-8s %6s %6s %24s %26s %10s%n",
+                "rate/s",
+                "way",
+                "calls",
+                "broken",
+                "first ms p50/p95/p99",
+                "between ms p50/p95/p99",
+                "CPU share");
+        for (double rate : RATES) {
+            row(rate, "direct", vertx, direct);
+            row(rate, "through", vertx, server.callersPort());
+        }
+        Runtime r = Runtime.getRuntime();
+        System.gc();
+        mOut.printf(
+                Locale.ROOT,
+                "heap in use after the runs, stand-ins included: %.0f MB%n",
+                (r.totalMemory() - r.freeMemory()) / BYTES_PER_MEGABYTE);
+    }
+
+    private static void awaitAdapter(Vertx vertx, int port) {
+        for (int i = 0; i < 50; i++) {
+            if (new StreamLoad(vertx, port, 2).run(20, 1).broken() == 0) {
+                return;
+            }
+        }
+        throw new IllegalStateException("expected an answer through the process, got none");
+    }
+
+    private void row(double rate, String way, Vertx vertx, int port) {
+        long cpu = processCpuNanos();
+        long start = System.nanoTime();
+        StreamTimes t = new StreamLoad(vertx, port, WORDS).run(rate, (int) (rate * SECONDS));
+        double share = (double) (processCpuNanos() - cpu) / (System.nanoTime() - start);
+        mOut.printf(
+                Locale.ROOT,
+                "%-9.0f %-8s %6d %6d %8.2f %7.2f %7.2f %10.2f %7.2f %7.2f %10.2f%n",
+                rate,
+                way,
+                t.count(),
+                t.broken(),
+                t.firstMillis(50),
+                t.firstMillis(95),
+                t.firstMillis(99),
+                t.betweenMillis(50),
+                t.betweenMillis(95),
+                t.betweenMillis(99),
+                share);
+        mOut.flush();
+    }
+
+    private static long processCpuNanos() {
+        return ManagementFactory.getPlatformMXBean(com.sun.management.OperatingSystemMXBean.class)
+                .getProcessCpuTime();
+    }
+}
--- a/cli/src/main/java/org/fescuehollow/cli/Command.java
+++ b/cli/src/main/java/org/fescuehollow/cli/Command.java
@@ -6,6 +6,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fescuehollow.bench.capacity.CapacityBench;
+import org.fescuehollow.bench.cost.CostBench;
 import org.fescuehollow.bench.policy.PolicyBench;
 
 /** The commands of the command line. Immutable and safe for use by any thread. */
@@ -49,10 +50,10 @@
         }
     },
     /** Measures the policy. */
-    BENCH("bench", "measure the policy under load, or the slopes of the capacity page") {
+    BENCH("bench", "measure the policy, the slopes of the capacity page, or the cost of a call") {
         @Override
         void configure(Subparser p) {
-            p.addArgument("what").choices("policy", "capacity").help("what to measure");
+            p.addArgument("what").choices("policy", "capacity", "cost").help("what to measure");
             p.addArgument("--size")
                     .choices("today", "all")
                     .setDefault("today")
@@ -65,6 +66,10 @@
                 new CapacityBench(out).run();
                 return 0;
             }
+            if (o.getString("what").equals("cost")) {
+                new CostBench(out).run();
+                return 0;
+            }
             PolicyBench bench = new PolicyBench(out);
             if (o.getString("size").equals("all")) {
                 bench.runAll();
