--- a/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/Attempt.java
@@ -10,15 +10,15 @@
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.ForwardingSink;
 
 /**
  * One attempt as its coordinator's surroundings see it: waiting, then running, then over.
  *
  * <p>Invariant: ends once; its end releases the pin exactly once. Used on the node's loop.
  */
-final class Attempt implements AnswerSink {
+final class Attempt extends ForwardingSink {
     private final Call mCall;
-    private final AnswerSink mSink;
     private final Runnable mOnEnd;
     private final Consumer<Problem> mOnNotRun;
     private final BiConsumer<Problem, Consumer<Problem>> mOnBreak;
@@ -40,8 +40,8 @@
             Runnable onEnd,
             Consumer<Problem> onNotRun,
             BiConsumer<Problem, Consumer<Problem>> onBreak) {
+        super(sink);
         mCall = call;
-        mSink = sink;
         mOnEnd = onEnd;
         mOnNotRun = onNotRun;
         mOnBreak = onBreak;
@@ -62,7 +62,7 @@
     void refused(Consumer<AnswerSink> last) {
         if (!mOver) {
             mOver = true;
-            last.accept(mSink);
+            last.accept(target());
         }
     }
 
@@ -84,21 +84,21 @@
     @Override
     public void head(AnswerHead head) {
         if (!mOver) {
-            mSink.head(head);
+            target().head(head);
         }
     }
 
     @Override
     public void chunk(Buffer data) {
         if (!mOver) {
-            mSink.chunk(data);
+            target().chunk(data);
         }
     }
 
     @Override
     public void end() {
         if (over()) {
-            mSink.end();
+            target().end();
         }
     }
 
@@ -116,24 +116,14 @@
 
     private void failNow(Problem problem) {
         if (over()) {
-            mSink.failed(problem);
+            target().failed(problem);
         }
     }
 
     @Override
     public void declined(Quote quote) {
         if (over()) {
-            mSink.declined(quote);
+            target().declined(quote);
         }
     }
-
-    @Override
-    public boolean isFull() {
-        return mSink.isFull();
-    }
-
-    @Override
-    public void onDrain(Runnable action) {
-        mSink.onDrain(action);
-    }
 }
--- a/server/src/main/java/org/fescuehollow/server/idempotency/ForwardedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/idempotency/ForwardedCall.java
@@ -2,7 +2,6 @@
 
 import static org.fescuehollow.error.ShouldKeepKeyUnique.shouldKnowOutcome;
 
-import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -11,10 +10,10 @@
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.idempotency.Ticket;
 import org.fescuehollow.placement.Quote;
-import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
+import org.fescuehollow.server.call.ForwardingSink;
 import org.fescuehollow.server.peer.PeerService;
 
 /**
@@ -55,20 +54,9 @@
     }
 
     /** Receives the answer of the node that was asked. Used on the node's loop. */
-    private final class HolderSink implements AnswerSink {
-        @Override
-        public void head(AnswerHead head) {
-            mSink.head(head);
-        }
-
-        @Override
-        public void chunk(Buffer data) {
-            mSink.chunk(data);
-        }
-
-        @Override
-        public void end() {
-            mSink.end();
+    private final class HolderSink extends ForwardingSink {
+        HolderSink() {
+            super(mSink);
         }
 
         @Override
@@ -84,15 +72,5 @@
         public void declined(Quote quote) {
             askNext();
         }
-
-        @Override
-        public boolean isFull() {
-            return mSink.isFull();
-        }
-
-        @Override
-        public void onDrain(Runnable action) {
-            mSink.onDrain(action);
-        }
     }
 }
--- a/server/src/main/java/org/fescuehollow/server/idempotency/RecordingSink.java
+++ b/server/src/main/java/org/fescuehollow/server/idempotency/RecordingSink.java
@@ -7,14 +7,14 @@
 import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.call.AnswerHead;
 import org.fescuehollow.server.call.AnswerSink;
+import org.fescuehollow.server.call.ForwardingSink;
 
 /**
  * Hands an answer on and keeps a copy for callers that send the same call again.
  *
  * <p>Invariant: the outcome is recorded before the caller sees the end. Used on the node's loop.
  */
-final class RecordingSink implements AnswerSink {
-    private final AnswerSink mSink;
+final class RecordingSink extends ForwardingSink {
     private final Consumer<Outcome> mRecord;
     private final Buffer mBody = Buffer.buffer();
     private int mStatus;
@@ -22,7 +22,7 @@
     private boolean mCallerGone;
 
     RecordingSink(AnswerSink sink, Consumer<Outcome> record) {
-        mSink = sink;
+        super(sink);
         mRecord = record;
     }
 
@@ -35,7 +35,7 @@
         mStatus = head.status();
         mContentType = head.contentType();
         if (!mCallerGone) {
-            mSink.head(head);
+            target().head(head);
         }
     }
 
@@ -43,7 +43,7 @@
     public void chunk(Buffer data) {
         mBody.appendBuffer(data);
         if (!mCallerGone) {
-            mSink.chunk(data);
+            target().chunk(data);
         }
     }
 
@@ -51,7 +51,7 @@
     public void end() {
         mRecord.accept(Outcome.answer(mStatus, mContentType, mBody.getBytes()));
         if (!mCallerGone) {
-            mSink.end();
+            target().end();
         }
     }
 
@@ -59,7 +59,7 @@
     public void failed(Problem problem) {
         mRecord.accept(Outcome.failure(problem));
         if (!mCallerGone) {
-            mSink.failed(problem);
+            target().failed(problem);
         }
     }
 
@@ -70,11 +70,6 @@
 
     @Override
     public boolean isFull() {
-        return !mCallerGone && mSink.isFull();
-    }
-
-    @Override
-    public void onDrain(Runnable action) {
-        mSink.onDrain(action);
+        return !mCallerGone && target().isFull();
     }
 }
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -10,6 +10,7 @@
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.call.CoordinatorPort;
 import org.fescuehollow.server.call.Firmness;
+import org.fescuehollow.server.call.ForwardingSink;
 import org.fescuehollow.server.metrics.Metrics;
 
 /**
@@ -83,10 +84,11 @@
     }
 
     /** Receives one attempt's answer; deaf once another attempt has begun. */
-    private final class AttemptSink implements AnswerSink {
+    private final class AttemptSink extends ForwardingSink {
         private final int mNumber;
 
         AttemptSink(int number) {
+            super(mSink);
             mNumber = number;
         }
 
@@ -135,15 +137,5 @@
                 follow(mPlan.declined(quote));
             }
         }
-
-        @Override
-        public boolean isFull() {
-            return mSink.isFull();
-        }
-
-        @Override
-        public void onDrain(Runnable action) {
-            mSink.onDrain(action);
-        }
     }
 }
