--- a/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/CoordinationService.java
@@ -8,11 +8,11 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.fescuehollow.api.Fescuehollow;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.model.Vm;
 import org.fescuehollow.placement.EngineCoordinator;
-import org.fescuehollow.placement.Eviction;
 import org.fescuehollow.placement.Quote;
 import org.fescuehollow.server.backend.BackendClient;
 import org.fescuehollow.server.call.AnswerSink;
@@ -40,6 +40,8 @@
 
     private static final long TICK_MILLIS = 20;
     private static final long REPORT_MILLIS = 1_000;
+    private static final int BUSY_EVERY = 2;
+    private static final int IDLE_EVERY = 5;
 
     private final NodeConfig mConfig;
     private final NodeLoop mLoop;
@@ -54,6 +56,7 @@
     private PostContext mContext;
     private Runnable mStopTimers = () -> {};
     private long mAttempts;
+    private long mReports;
     private boolean mDraining;
 
     /**
@@ -143,12 +146,8 @@
             return;
         }
         EngineCoordinator coordinator =
-                new EngineCoordinator(
-                        server.id(),
-                        mConfig.nodeId() + "/" + mIncarnation,
-                        policy,
-                        Eviction.LEAST_FREQUENT_AGED,
-                        mBudget.bank());
+                Fescuehollow.coordinator(
+                        server.id(), mConfig.nodeId() + "/" + mIncarnation, policy, mBudget.bank());
         ServerPost created = new ServerPost(server, coordinator, mContext);
         mPosts.put(server.id(), created);
         mMetrics.event("coordination_taken");
--- a/server/src/main/java/org/fescuehollow/server/peer/FrameChannel.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/FrameChannel.java
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -24,6 +26,7 @@
  */
 final class FrameChannel {
     static final int MAX_FRAME_BYTES = 80 << 20;
+    private static final Logger LOG = System.getLogger(FrameChannel.class.getName());
 
     private final Channel mChannel;
     private final Queue<Runnable> mDrainActions = new ConcurrentLinkedQueue<>();
@@ -107,7 +110,17 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerProto.Frame frame) {
-            mLoop.run(() -> mHandler.frame(frame));
+            mLoop.run(() -> take(context, frame));
+        }
+
+        /** A frame that can't be understood ends the link; its sender opens another. */
+        private void take(ChannelHandlerContext context, PeerProto.Frame frame) {
+            try {
+                mHandler.frame(frame);
+            } catch (IllegalArgumentException e) {
+                LOG.log(Level.WARNING, "link closed, its frame can't be read: " + e.getMessage());
+                context.close();
+            }
         }
 
         @Override
--- a/server/src/main/java/org/fescuehollow/server/settings/SettingsService.java
+++ b/server/src/main/java/org/fescuehollow/server/settings/SettingsService.java
@@ -9,6 +9,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.fescuehollow.api.Fescuehollow;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.server.config.NodeConfig;
@@ -36,7 +37,7 @@
     private final NodeLoop mLoop;
     private final HttpClient mClient;
     private final Metrics mMetrics;
-    private final SettingsStore mStore = new SettingsStore();
+    private final SettingsStore mStore = Fescuehollow.settings();
     private final List<Consumer<SettingsEntry>> mListeners = new ArrayList<>();
     private long mPlatformRevision;
     private Optional<LongPoll> mPoll = Optional.empty();
