Review: permits at a slow start, long waits of callers, deadlines over attempts, leaving the balancer

Cause: read as a reviewer would, four faults. A node whose settings and list came before its budget service started had no share and never loaded (seen once as a 30 s wait in WholeAnswersTest on a busy machine; the settings and list were there, no permit was). The callers' idle limit of 60 s cut bulk calls that may wait 900 s. Each attempt got the whole patience anew. A planned stop refused calls before the balancer could notice. Change: the share is set at the start; the callers' limit covers the longest wait; what is left of the patience travels with the call; a leaving node is not ready first and refuses later. Conclusion: mended; bulk waits over a minute are not tested over sockets.

--- a/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
+++ b/core/src/main/java/org/fescuehollow/routing/AttemptPlan.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.routing;
 
 import static org.fescuehollow.error.ShouldFindCapacity.shouldFindCapacity;
+import static org.fescuehollow.error.ShouldMeetDeadline.shouldMeetDeadline;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -186,6 +187,16 @@
         return order;
     }
 
+    /**
+     * Gives up since the request's time has passed.
+     *
+     * @param waitedMillis how long it waited, in milliseconds
+     * @return the last step
+     */
+    public Step late(long waitedMillis) {
+        return giveUp(shouldMeetDeadline(waitedMillis));
+    }
+
     private Step giveUp(Problem problem) {
         return new Step.GiveUp(problem.ran() == RunState.NOT_RUN ? problem.withRan(mRan) : problem);
     }
--- a/core/src/test/java/org/fescuehollow/routing/AttemptPlanTest.java
+++ b/core/src/test/java/org/fescuehollow/routing/AttemptPlanTest.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.routing;
 
 import static org.assertj.core.api.BDDAssertions.then;
+import static org.fescuehollow.error.ShouldReachPeer.shouldReachPeer;
 
 import java.util.List;
 import java.util.stream.IntStream;
@@ -68,6 +69,30 @@
         then(plan.declined(last)).isInstanceOf(AttemptPlan.Step.GiveUp.class);
     }
 
+    @Test
+    void giveUp_neverTellsNotRunAfterAnAttemptThatMayHaveRun() {
+        // GIVEN
+        AttemptPlan plan = plan(true);
+        plan.begin();
+        plan.failed(UNKNOWN, false);
+        // WHEN
+        AttemptPlan.Step late = plan.late(30_000);
+        // THEN
+        then(((AttemptPlan.Step.GiveUp) late).problem().ran()).isEqualTo(RunState.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void failed_passesOverANodeThatCannotBeReached() {
+        // GIVEN
+        AttemptPlan plan = new AttemptPlan("svc", SERVERS, false, new RetryBudget(0, 0));
+        plan.begin();
+        // WHEN
+        AttemptPlan.Step step =
+                plan.failed(shouldReachPeer("n1", RunState.NOT_RUN, "no link"), false);
+        // THEN
+        then(step).isEqualTo(new AttemptPlan.Step.Submit(SERVERS.get(1), Ask.IF_RESIDENT, 0));
+    }
+
     @Test
     void failed_keepsRetriesWithinTheBudget() {
         // GIVEN
--- a/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
+++ b/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
@@ -69,7 +69,7 @@
                         new BudgetService(config, loop),
                         new CoordinationService(config, loop, backends, metrics, incarnation),
                         new CoordinatorService(config),
-                        new RoutingService(config, metrics),
+                        new RoutingService(config, loop, metrics),
                         new IdempotencyService(config, loop, metrics, incarnation),
                         new FrontService(config, loop, metrics),
                         new AdminService(config, loop, metrics));
--- a/server/src/main/java/org/fescuehollow/server/call/Call.java
+++ b/server/src/main/java/org/fescuehollow/server/call/Call.java
@@ -60,6 +60,31 @@
                 .getAsLong();
     }
 
+    /**
+     * Returns this call with the time that is left to wait for its start.
+     *
+     * @param millis milliseconds
+     * @return the new call
+     */
+    public Call withPatience(long millis) {
+        return new Call(
+                id,
+                team,
+                weight,
+                priority,
+                service,
+                adapter,
+                method,
+                path,
+                contentType,
+                traceParent,
+                body,
+                stream,
+                repeatable,
+                millis,
+                crashes);
+    }
+
     /**
      * Returns this call as it is after one more crash.
      *
--- a/server/src/main/java/org/fescuehollow/server/config/Limits.java
+++ b/server/src/main/java/org/fescuehollow/server/config/Limits.java
@@ -13,6 +13,8 @@
  * @param connectMillis time to connect to a backend server or node
  * @param idleMillis longest silence of a backend server while it answers
  * @param loadMillis longest time of one adapter load
+ * @param leaveMillis time from the begin of a planned stop to the first refusal, in which the
+ *     balancer notices that the node isn't ready
  * @param drainMillis longest time that a planned stop waits for requests
  * @param quietMillis time from taking over an engine to the first eviction on it
  * @param ledgerEntries idempotency records kept
@@ -25,6 +27,7 @@
         int connectMillis,
         int idleMillis,
         int loadMillis,
+        int leaveMillis,
         int drainMillis,
         int quietMillis,
         int ledgerEntries,
@@ -35,8 +38,9 @@
                 tree.path("answer_bytes").asInt(16 << 20),
                 tree.path("header_bytes").asInt(16 << 10),
                 tree.path("connect_ms").asInt(1_000),
-                tree.path("idle_ms").asInt(60_000),
+                tree.path("idle_ms").asInt(120_000),
                 tree.path("load_ms").asInt(30_000),
+                tree.path("leave_ms").asInt(5_000),
                 tree.path("drain_ms").asInt(120_000),
                 tree.path("quiet_ms").asInt(5_000),
                 tree.path("ledger_entries").asInt(100_000),
--- a/server/src/main/java/org/fescuehollow/server/coordination/BudgetService.java
+++ b/server/src/main/java/org/fescuehollow/server/coordination/BudgetService.java
@@ -89,6 +89,7 @@
                     mPeers.onNews(
                             PeerProto.Frame.BodyCase.RETURN_PERMIT,
                             (n, f, r) -> mBank.returned(f.getReturnPermit().getNumber()));
+                    setShare();
                 });
         mStopTicks = mLoop.every(TICK_MILLIS, this::tick);
     }
--- a/server/src/main/java/org/fescuehollow/server/front/FrontService.java
+++ b/server/src/main/java/org/fescuehollow/server/front/FrontService.java
@@ -29,6 +29,7 @@
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
+import org.fescuehollow.model.Priority;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.config.NodeConfig;
@@ -58,6 +59,7 @@
     private SettingsService mSettings;
     private CallRunner mRunner;
     private HttpServer mServer;
+    private boolean mLeaving;
     private boolean mStopping;
     private int mOpen;
 
@@ -88,7 +90,7 @@
                         .setHost(mConfig.callers().host())
                         .setPort(mConfig.callers().port())
                         .setMaxHeaderSize(mConfig.limits().headerBytes())
-                        .setIdleTimeout(mConfig.limits().idleMillis())
+                        .setIdleTimeout(longestSilenceMillis())
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                         .setDecompressionSupported(false);
         mServer =
@@ -101,6 +103,11 @@
         LOG.log(Level.INFO, "callers' port open at " + port());
     }
 
+    /** A caller may wait silently for its start, and then for its answer. */
+    private int longestSilenceMillis() {
+        return (int) Priority.BULK.patienceMillis() + 2 * mConfig.limits().idleMillis();
+    }
+
     /**
      * Returns the port that callers use.
      *
@@ -245,11 +252,12 @@
      * @return false once a planned stop has begun
      */
     public boolean isOpen() {
-        return !mStopping;
+        return !mLeaving && !mStopping;
     }
 
     /**
-     * Begins a planned stop: new requests are told to go elsewhere, those under way go on.
+     * Begins a planned stop: the node is no longer ready, but takes requests until the balancer has
+     * had time to notice; then new requests are told to go elsewhere, and those under way go on.
      *
      * @return completes when no request is under way, or when the limit for draining has passed
      */
@@ -257,13 +265,17 @@
         Promise<Void> done = Promise.promise();
         mLoop.run(
                 () -> {
-                    mStopping = true;
-                    long end = mLoop.now() + mConfig.limits().drainMillis() * 1_000_000L;
-                    pollDrained(done, end);
+                    mLeaving = true;
+                    mLoop.after(mConfig.limits().leaveMillis(), () -> close(done));
                 });
         return done.future();
     }
 
+    private void close(Promise<Void> done) {
+        mStopping = true;
+        pollDrained(done, mLoop.now() + mConfig.limits().drainMillis() * 1_000_000L);
+    }
+
     private void pollDrained(Promise<Void> done, long end) {
         if (mOpen == 0 || mLoop.now() >= end) {
             done.tryComplete();
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.server.routing;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.function.LongSupplier;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.placement.Quote;
 import org.fescuehollow.routing.AttemptPlan;
@@ -25,6 +26,8 @@
     private final CoordinatorPort mPort;
     private final AnswerSink mSink;
     private final Metrics mMetrics;
+    private final LongSupplier mClock;
+    private final long mBegunNanos;
     private final Runnable mOnEnd;
     private CallHandle mCurrent = () -> {};
     private int mAttempt;
@@ -37,12 +40,15 @@
             CoordinatorPort port,
             AnswerSink sink,
             Metrics metrics,
+            LongSupplier clock,
             Runnable onEnd) {
         mCall = call;
         mPlan = plan;
         mPort = port;
         mSink = sink;
         mMetrics = metrics;
+        mClock = clock;
+        mBegunNanos = clock.getAsLong();
         mOnEnd = onEnd;
     }
 
@@ -50,13 +56,21 @@
         follow(mPlan.begin());
     }
 
-    private void follow(AttemptPlan.Step step) {
+    /** The time that is left to wait, whatever earlier attempts have taken of it. */
+    private long patienceLeft() {
+        return mCall.patienceMillis() - (mClock.getAsLong() - mBegunNanos) / 1_000_000;
+    }
+
+    private void follow(AttemptPlan.Step next) {
+        long left = patienceLeft();
+        boolean late = left <= 0 && next instanceof AttemptPlan.Step.Submit;
+        AttemptPlan.Step step = late ? mPlan.late(mCall.patienceMillis() - left) : next;
         if (step instanceof AttemptPlan.Step.Submit submit) {
             int number = ++mAttempt;
             CallHandle handle =
                     mPort.submit(
                             submit.server(),
-                            mCall,
+                            mCall.withPatience(left),
                             new Firmness(submit.ask(), submit.uses()),
                             new AttemptSink(number));
             if (number == mAttempt && !mOver) {
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutingService.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutingService.java
@@ -19,6 +19,7 @@
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.coordination.CoordinatorService;
 import org.fescuehollow.server.fleet.FleetService;
+import org.fescuehollow.server.loop.NodeLoop;
 import org.fescuehollow.server.metrics.Metrics;
 import org.fescuehollow.server.suspects.SuspectsService;
 import org.fescuehollow.suspects.CrashSuspects;
@@ -37,6 +38,7 @@
     private static final double RETRY_BURST = 20;
 
     private final NodeConfig mConfig;
+    private final NodeLoop mLoop;
     private final Metrics mMetrics;
     private final RetryBudget mBudget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
     private FleetService mFleet;
@@ -48,9 +50,11 @@
      * Creates the service.
      *
      * @param config the process's settings
+     * @param loop the node's loop
      * @param metrics the process's metrics
      */
-    public RoutingService(NodeConfig config, Metrics metrics) {
+    public RoutingService(NodeConfig config, NodeLoop loop, Metrics metrics) {
+        mLoop = loop;
         mConfig = config;
         mMetrics = metrics;
     }
@@ -81,7 +85,8 @@
             return () -> {};
         }
         mInFlight++;
-        RoutedCall routed = new RoutedCall(call, planOf(call), mPort, sink, mMetrics, this::ended);
+        RoutedCall routed =
+                new RoutedCall(call, planOf(call), mPort, sink, mMetrics, mLoop::now, this::ended);
         routed.begin();
         return routed;
     }
--- a/server/src/test/java/org/fescuehollow/server/testsupport/Nodes.java
+++ b/server/src/test/java/org/fescuehollow/server/testsupport/Nodes.java
@@ -24,7 +24,7 @@
     public Nodes start(String id, String domain) {
         String yaml =
                 mStands.nodeYaml(id, domain, 0)
-                        .replace("{quiet_ms: 0}", "{quiet_ms: 0, probe_ms: 100}");
+                        .replace("{quiet_ms: 0", "{probe_ms: 100, quiet_ms: 0");
         FescuehollowServer server = FescuehollowServer.of(NodeConfig.parse("test", yaml));
         server.start();
         mServers.put(id, server);
--- a/standins/src/main/java/org/fescuehollow/standins/Deployment.java
+++ b/standins/src/main/java/org/fescuehollow/standins/Deployment.java
@@ -128,7 +128,7 @@
         platform:
           settings: %s
           vm_list: %s
-        limits: {quiet_ms: 0}
+        limits: {quiet_ms: 0, leave_ms: 0}
         """
                 .formatted(id, domain, peerPort, mSettings.url(), mVms.url());
     }
