--- a/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
+++ b/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
@@ -4,7 +4,6 @@
 import static org.fescuehollow.error.ShouldNameAllowedTarget.shouldNameAllowedTarget;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.lang.System.Logger;
@@ -21,6 +20,7 @@
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.front.FrontService;
 import org.fescuehollow.server.front.ProblemWriter;
+import org.fescuehollow.server.loop.HttpPort;
 import org.fescuehollow.server.loop.NodeLoop;
 import org.fescuehollow.server.membership.MembershipService;
 import org.fescuehollow.server.metrics.Metrics;
@@ -43,7 +43,7 @@
     private final NodeLoop mLoop;
     private final Metrics mMetrics;
     private Kernel mKernel;
-    private HttpServer mServer;
+    private HttpPort mPort;
 
     /**
      * Creates the service.
@@ -66,17 +66,7 @@
     @Override
     public void start(Kernel kernel) {
         mKernel = kernel;
-        HttpServerOptions options =
-                new HttpServerOptions()
-                        .setHost(mConfig.admin().host())
-                        .setPort(mConfig.admin().port());
-        mServer =
-                mLoop.await(
-                        () ->
-                                mLoop.vertx()
-                                        .createHttpServer(options)
-                                        .requestHandler(this::handle)
-                                        .listen());
+        mPort = HttpPort.open(mLoop, mConfig.admin(), new HttpServerOptions(), this::handle);
         LOG.log(Level.INFO, "operators' port open at " + port());
     }
 
@@ -86,7 +76,7 @@
      * @return the port bound
      */
     public int port() {
-        return mServer.actualPort();
+        return mPort.number();
     }
 
     private void handle(HttpServerRequest request) {
@@ -177,6 +167,6 @@
 
     @Override
     public void stop() {
-        mLoop.await(() -> mServer.close());
+        mPort.close();
     }
 }
--- a/server/src/main/java/org/fescuehollow/server/front/FrontService.java
+++ b/server/src/main/java/org/fescuehollow/server/front/FrontService.java
@@ -11,7 +11,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.lang.System.Logger;
@@ -34,6 +33,7 @@
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.config.NodeConfig;
 import org.fescuehollow.server.idempotency.IdempotencyService;
+import org.fescuehollow.server.loop.HttpPort;
 import org.fescuehollow.server.loop.NodeLoop;
 import org.fescuehollow.server.metrics.Metrics;
 import org.fescuehollow.server.platform.Json;
@@ -58,7 +58,7 @@
     private final Metrics mMetrics;
     private SettingsService mSettings;
     private CallRunner mRunner;
-    private HttpServer mServer;
+    private HttpPort mPort;
     private boolean mLeaving;
     private boolean mStopping;
     private int mOpen;
@@ -87,19 +87,11 @@
         mRunner = kernel.find(IdempotencyService.NAME, IdempotencyService.class);
         HttpServerOptions options =
                 new HttpServerOptions()
-                        .setHost(mConfig.callers().host())
-                        .setPort(mConfig.callers().port())
                         .setMaxHeaderSize(mConfig.limits().headerBytes())
                         .setIdleTimeout(longestSilenceMillis())
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                         .setDecompressionSupported(false);
-        mServer =
-                mLoop.await(
-                        () ->
-                                mLoop.vertx()
-                                        .createHttpServer(options)
-                                        .requestHandler(this::handle)
-                                        .listen());
+        mPort = HttpPort.open(mLoop, mConfig.callers(), options, this::handle);
         LOG.log(Level.INFO, "callers' port open at " + port());
     }
 
@@ -114,7 +106,7 @@
      * @return the port bound
      */
     public int port() {
-        return mServer.actualPort();
+        return mPort.number();
     }
 
     private void handle(HttpServerRequest request) {
@@ -287,7 +279,7 @@
     @Override
     public void stop() {
         mStopping = true;
-        mLoop.await(() -> mServer.close());
+        mPort.close();
     }
 
     @Override
