Ledgers bound the bytes of the answers they keep

Change: 64 MiB of answers at the most; the oldest go first, and stay known as dropped. Figures: the new test keeps two of three answers of 32 MiB each, the third is of unknown outcome. Conclusion: the bound holds by count and by bytes.

--- a/core/src/main/java/org/fescuehollow/idempotency/LedgerRecord.java
+++ b/core/src/main/java/org/fescuehollow/idempotency/LedgerRecord.java
@@ -11,4 +11,9 @@
  * @param digest the digest of its call
  * @param outcome what became of it, once known
  */
-public record LedgerRecord(long serial, long digest, Optional<Outcome> outcome) {}
+public record LedgerRecord(long serial, long digest, Optional<Outcome> outcome) {
+    /** Returns the size of the answer that the record keeps, in bytes. */
+    int answerBytes() {
+        return outcome.map(o -> o.body().length).orElse(0);
+    }
+}
--- a/core/src/main/java/org/fescuehollow/idempotency/TicketLedger.java
+++ b/core/src/main/java/org/fescuehollow/idempotency/TicketLedger.java
@@ -26,6 +26,9 @@
  * for another node was taken, nothing runs here. Not safe for concurrent use.
  */
 public final class TicketLedger {
+    /** The most bytes of answers that are remembered. */
+    static final long MAX_ANSWER_BYTES = 64L << 20;
+
     private final String mNode;
     private final String mIncarnation;
     private final byte[] mSecret;
@@ -33,6 +36,7 @@
     private final int mCapacity;
     private final SortedMap<Long, LedgerRecord> mRecords = new TreeMap<>();
     private long mNextSerial;
+    private long mAnswerBytes;
     private long mForgottenBelow;
     private boolean mHandedOver;
 
@@ -65,7 +69,7 @@
                         snapshot.node(), snapshot.incarnation(), snapshot.secret(), capacity);
         ledger.mNextSerial = snapshot.nextSerial();
         ledger.mForgottenBelow = snapshot.forgottenBelow();
-        snapshot.records().forEach(r -> ledger.mRecords.put(r.serial(), settled(r)));
+        snapshot.records().forEach(r -> ledger.put(settled(r)));
         ledger.dropOldest();
         return ledger;
     }
@@ -139,7 +143,7 @@
             return new LedgerAnswer.Refuse(
                     shouldKnowOutcome("its record was dropped to bound the memory"));
         }
-        mRecords.put(ticket.serial(), new LedgerRecord(ticket.serial(), digest, Optional.empty()));
+        put(new LedgerRecord(ticket.serial(), digest, Optional.empty()));
         dropOldest();
         return new LedgerAnswer.Run();
     }
@@ -153,10 +157,21 @@
                 .orElseGet(() -> new LedgerAnswer.Refuse(shouldAwaitOutcome()));
     }
 
+    private void put(LedgerRecord r) {
+        remove(r.serial());
+        mRecords.put(r.serial(), r);
+        mAnswerBytes += r.answerBytes();
+    }
+
+    private void remove(long serial) {
+        LedgerRecord old = mRecords.remove(serial);
+        mAnswerBytes -= old == null ? 0 : old.answerBytes();
+    }
+
     private void dropOldest() {
-        while (mRecords.size() > mCapacity) {
+        while (mRecords.size() > mCapacity || mAnswerBytes > MAX_ANSWER_BYTES) {
             long oldest = mRecords.firstKey();
-            mRecords.remove(oldest);
+            remove(oldest);
             mForgottenBelow = Math.max(mForgottenBelow, oldest + 1);
         }
     }
@@ -174,11 +189,10 @@
         }
         boolean notRun = outcome.problem().filter(p -> p.ran() == RunState.NOT_RUN).isPresent();
         if (notRun) {
-            mRecords.remove(ticket.serial());
+            remove(ticket.serial());
         } else {
-            mRecords.put(
-                    ticket.serial(),
-                    new LedgerRecord(ticket.serial(), known.digest(), Optional.of(outcome)));
+            put(new LedgerRecord(ticket.serial(), known.digest(), Optional.of(outcome)));
+            dropOldest();
         }
     }
 
--- a/core/src/test/java/org/fescuehollow/idempotency/TicketLedgerTest.java
+++ b/core/src/test/java/org/fescuehollow/idempotency/TicketLedgerTest.java
@@ -72,6 +72,21 @@
         then(later.isOwn(t)).isFalse();
     }
 
+    @Test
+    void end_dropsTheOldestAnswersBeyondTheBytesAllowed() {
+        // GIVEN
+        TicketLedger ledger = new TicketLedger("n1", "life1", new byte[] {7}, 100);
+        List<Ticket> tickets = Stream.generate(ledger::mint).limit(3).toList();
+        byte[] half = new byte[(int) (TicketLedger.MAX_ANSWER_BYTES / 2)];
+        // WHEN
+        tickets.forEach(t -> ledger.begin(t, 1));
+        tickets.forEach(t -> ledger.end(t, Outcome.answer(200, "", half)));
+        // THEN
+        then(codeOf(ledger.begin(tickets.get(0), 1))).isEqualTo(ErrorCode.KEY_OUTCOME_UNKNOWN);
+        then(ledger.begin(tickets.get(1), 1)).isInstanceOf(LedgerAnswer.Replay.class);
+        then(ledger.begin(tickets.get(2), 1)).isInstanceOf(LedgerAnswer.Replay.class);
+    }
+
     private static ErrorCode codeOf(LedgerAnswer answer) {
         return ((LedgerAnswer.Refuse) answer).problem().code();
     }
