Second reading: one copy of a call for its attempts, dead parts out, no victim sought in vain

Cause: reading the whole change once more. Call was copied by two methods of fifteen arguments each; a greeting between nodes carried an incarnation that nobody read; a listener took a digest it did not use; Scenario.lasting had no caller; key hashes were compared by two twins; the planner ranked adapters for eviction even when no load was wanted. Change: Call.forAttempt, KeyHash.areSame; the unused parts are gone; the planner returns first. Ruled out for now: the digest of a call's body is worked out again at each coordinator asked. Conclusion: behaviour unchanged.

--- a/bench/src/main/java/org/fescuehollow/bench/policy/Scenario.java
+++ b/bench/src/main/java/org/fescuehollow/bench/policy/Scenario.java
@@ -101,32 +101,6 @@
                     0.3,
                     Weighting.STALLS_FIRST);
 
-    /**
-     * Returns this scenario with another duration.
-     *
-     * @param duration virtual seconds
-     * @return the new scenario
-     */
-    public Scenario lasting(int duration) {
-        return new Scenario(
-                name,
-                domains,
-                nodes,
-                engines,
-                slots,
-                batch,
-                adapters,
-                zipf,
-                requestsPerSecond,
-                serviceMillis,
-                loadsPerSecond,
-                inTransit,
-                duration,
-                teams,
-                bulkShare,
-                weighting);
-    }
-
     /**
      * Returns this scenario with another share of bulk work at the same rate of other work.
      *
--- a/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
+++ b/core/src/main/java/org/fescuehollow/placement/LoadPlanner.java
@@ -135,6 +135,9 @@
             }
         }
         mWantedSince.keySet().retainAll(waitedFor);
+        if (wanted.isEmpty()) {
+            return;
+        }
         Optional<AdapterRef> victim = pickVictim(now, waitedFor);
         for (Map.Entry<AdapterRef, List<Work>> e : wanted.entrySet()) {
             boolean hasRoom = mSlots.size() < policy.slots() || victim.isPresent();
--- a/core/src/main/java/org/fescuehollow/settings/KeyHash.java
+++ b/core/src/main/java/org/fescuehollow/settings/KeyHash.java
@@ -9,6 +9,18 @@
 public final class KeyHash {
     private KeyHash() {}
 
+    /**
+     * Compares two hashes in a time that doesn't tell where they differ.
+     *
+     * @param a a hash in hex
+     * @param b another
+     * @return true if they are the same text
+     */
+    public static boolean areSame(String a, String b) {
+        return MessageDigest.isEqual(
+                a.getBytes(StandardCharsets.US_ASCII), b.getBytes(StandardCharsets.US_ASCII));
+    }
+
     /**
      * Hashes a key.
      *
--- a/core/src/main/java/org/fescuehollow/settings/SettingsView.java
+++ b/core/src/main/java/org/fescuehollow/settings/SettingsView.java
@@ -1,7 +1,5 @@
 package org.fescuehollow.settings;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedSet;
@@ -45,12 +43,7 @@
     public Optional<TeamAccess> teamOfKey(String keyHash) {
         return Optional.ofNullable(mTeamByKeyHash.get(keyHash))
                 .map(mAccess::get)
-                .filter(a -> a.keyHashes().stream().anyMatch(h -> sameText(h, keyHash)));
-    }
-
-    private static boolean sameText(String a, String b) {
-        return MessageDigest.isEqual(
-                a.getBytes(StandardCharsets.US_ASCII), b.getBytes(StandardCharsets.US_ASCII));
+                .filter(a -> a.keyHashes().stream().anyMatch(h -> KeyHash.areSame(h, keyHash)));
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
+++ b/server/src/main/java/org/fescuehollow/server/FescuehollowServer.java
@@ -63,7 +63,7 @@
                         new SettingsService(config, loop, client, metrics),
                         new FleetService(config, loop, client, metrics),
                         new SuspectsService(loop, metrics),
-                        new PeerService(config, loop, incarnation),
+                        new PeerService(config, loop),
                         new MembershipService(config, loop, metrics),
                         new SettingsSpreadService(config, loop, metrics),
                         new BudgetService(config, loop),
--- a/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
+++ b/server/src/main/java/org/fescuehollow/server/admin/AdminService.java
@@ -8,8 +8,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -134,11 +132,9 @@
                         hash ->
                                 header != null
                                         && header.startsWith("Bearer ")
-                                        && MessageDigest.isEqual(
-                                                KeyHash.of(header.substring(7))
-                                                        .getBytes(StandardCharsets.US_ASCII),
-                                                hash.toLowerCase(Locale.ROOT)
-                                                        .getBytes(StandardCharsets.US_ASCII)))
+                                        && KeyHash.areSame(
+                                                KeyHash.of(header.substring(7)),
+                                                hash.toLowerCase(Locale.ROOT)))
                 .orElse(true);
     }
 
--- a/server/src/main/java/org/fescuehollow/server/call/Call.java
+++ b/server/src/main/java/org/fescuehollow/server/call/Call.java
@@ -61,12 +61,13 @@
     }
 
     /**
-     * Returns this call with the time that is left to wait for its start.
+     * Returns this call as its next attempt carries it.
      *
-     * @param millis milliseconds
+     * @param patienceLeftMillis the time that is left to wait for its start, in milliseconds
+     * @param crashesSoFar how many backend servers crashed while they ran it
      * @return the new call
      */
-    public Call withPatience(long millis) {
+    public Call forAttempt(long patienceLeftMillis, int crashesSoFar) {
         return new Call(
                 id,
                 team,
@@ -81,32 +82,7 @@
                 body,
                 stream,
                 repeatable,
-                millis,
-                crashes);
-    }
-
-    /**
-     * Returns this call as it is after one more crash.
-     *
-     * @param count crashes so far
-     * @return the new call
-     */
-    public Call withCrashes(int count) {
-        return new Call(
-                id,
-                team,
-                weight,
-                priority,
-                service,
-                adapter,
-                method,
-                path,
-                contentType,
-                traceParent,
-                body,
-                stream,
-                repeatable,
-                patienceMillis,
-                count);
+                patienceLeftMillis,
+                crashesSoFar);
     }
 }
--- a/server/src/main/java/org/fescuehollow/server/membership/MembershipService.java
+++ b/server/src/main/java/org/fescuehollow/server/membership/MembershipService.java
@@ -20,7 +20,7 @@
 import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
@@ -60,7 +60,7 @@
     private final Metrics mMetrics;
     private final Membership mMembership;
     private final long mPeriodMillis;
-    private final List<BiConsumer<String, Long>> mDigestListeners = new ArrayList<>();
+    private final List<Consumer<String>> mDigestListeners = new ArrayList<>();
     private FleetService mFleet;
     private SettingsService mSettings;
     private SuspectsService mSuspects;
@@ -194,7 +194,7 @@
             mMembership.receive(now, message).forEach(this::send);
             GossipCodec.findings(gossip.getFindingsList(), now).forEach(mSuspects::merge);
             if (gossip.getSettingsDigest() != mSettings.store().digest()) {
-                mDigestListeners.forEach(l -> l.accept(message.from(), gossip.getSettingsDigest()));
+                mDigestListeners.forEach(l -> l.accept(message.from()));
             }
             publish();
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
@@ -205,9 +205,9 @@
     /**
      * Registers an action for datagrams whose settings digest differs from this node's.
      *
-     * @param listener takes the sender's id and digest
+     * @param listener takes the sender's id
      */
-    public void onOtherSettings(BiConsumer<String, Long> listener) {
+    public void onOtherSettings(Consumer<String> listener) {
         mDigestListeners.add(listener);
     }
 
--- a/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
+++ b/server/src/main/java/org/fescuehollow/server/peer/PeerService.java
@@ -50,7 +50,6 @@
 
     private final NodeConfig mConfig;
     private final NodeLoop mLoop;
-    private final String mIncarnation;
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Map<String, PeerLink> mLinks = new HashMap<>();
@@ -108,12 +107,10 @@
      *
      * @param config the process's settings
      * @param loop the node's loop
-     * @param incarnation names this process's life
      */
-    public PeerService(NodeConfig config, NodeLoop loop, String incarnation) {
+    public PeerService(NodeConfig config, NodeLoop loop) {
         mConfig = config;
         mLoop = loop;
-        mIncarnation = incarnation;
     }
 
     private static CallHandle refuse(AnswerSink sink) {
@@ -278,10 +275,7 @@
     private FrameHandler linkOpened(PeerLink link, FrameChannel channel) {
         channel.write(
                 PeerProto.Frame.newBuilder()
-                        .setHello(
-                                PeerProto.Hello.newBuilder()
-                                        .setNode(mConfig.nodeId())
-                                        .setIncarnation(mIncarnation.hashCode()))
+                        .setHello(PeerProto.Hello.newBuilder().setNode(mConfig.nodeId()))
                         .build());
         mLoop.run(() -> link.opened(channel));
         return link;
--- a/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/routing/RoutedCall.java
@@ -21,7 +21,7 @@
  * the call ends exactly once. Used on the node's loop.
  */
 final class RoutedCall implements CallHandle {
-    private Call mCall;
+    private final Call mCall;
     private final AttemptPlan mPlan;
     private final CoordinatorPort mPort;
     private final AnswerSink mSink;
@@ -31,6 +31,7 @@
     private final Runnable mOnEnd;
     private CallHandle mCurrent = () -> {};
     private int mAttempt;
+    private int mCrashes;
     private boolean mAnswered;
     private boolean mOver;
 
@@ -43,6 +44,7 @@
             LongSupplier clock,
             Runnable onEnd) {
         mCall = call;
+        mCrashes = call.crashes();
         mPlan = plan;
         mPort = port;
         mSink = sink;
@@ -70,7 +72,7 @@
             CallHandle handle =
                     mPort.submit(
                             submit.server(),
-                            mCall.withPatience(left),
+                            mCall.forAttempt(left, mCrashes),
                             new Firmness(submit.ask(), submit.uses()),
                             new AttemptSink(number));
             if (number == mAttempt && !mOver) {
@@ -137,7 +139,7 @@
             if (!isCurrent()) {
                 return;
             }
-            mCall = mCall.withCrashes(Math.max(mCall.crashes(), problem.crashes()));
+            mCrashes = Math.max(mCrashes, problem.crashes());
             AttemptPlan.Step next = mPlan.failed(problem, mAnswered);
             if (next instanceof AttemptPlan.Step.Submit) {
                 mMetrics.retry(mCall.service(), problem.code());
--- a/server/src/main/java/org/fescuehollow/server/settings/SettingsSpreadService.java
+++ b/server/src/main/java/org/fescuehollow/server/settings/SettingsSpreadService.java
@@ -76,7 +76,7 @@
                 () -> {
                     mSettings.onChange(this::push);
                     mFleet.onChange(this::chooseWatchers);
-                    membership.onOtherSettings((node, digest) -> compare(node));
+                    membership.onOtherSettings(this::compare);
                     mPeers.onNews(PeerProto.Frame.BodyCase.SETTINGS_PUSH, this::pushed);
                     mPeers.onNews(PeerProto.Frame.BodyCase.SETTINGS_SUMMARY, this::summarised);
                     mPeers.onNews(PeerProto.Frame.BodyCase.SETTINGS_OFFER, this::offered);
--- a/server/src/test/java/org/fescuehollow/server/coordination/BudgetServiceTest.java
+++ b/server/src/test/java/org/fescuehollow/server/coordination/BudgetServiceTest.java
@@ -27,7 +27,7 @@
             SettingsService settings = new SettingsService(config, loop, client, metrics);
             FleetService fleet = new FleetService(config, loop, client, metrics);
             BudgetService budget = new BudgetService(config, loop);
-            Kernel early = Kernel.of(settings, fleet, new PeerService(config, loop, "life"));
+            Kernel early = Kernel.of(settings, fleet, new PeerService(config, loop));
             early.start();
             Await.until(
                     () ->
