--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/catalog/Configuration.java
@@ -0,0 +1,91 @@
+package org.fescuehollow.catalog;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * One version of the operators' configuration.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public final class Configuration {
+    private final long mVersion;
+    private final Map<String, List<Route>> mRoutes;
+    private final Map<String, ServiceSpec> mServices;
+    private final ClientLimits mLimits;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version its version; a higher one replaces a lower one
+     * @param routes the routes in any order
+     * @param services the services by name
+     * @param limits bounds on what callers may send
+     */
+    public Configuration(
+            long version,
+            List<Route> routes,
+            Map<String, ServiceSpec> services,
+            ClientLimits limits) {
+        mVersion = version;
+        mRoutes =
+                routes.stream()
+                        .sorted(Comparator.comparingInt(r -> -r.prefix().length()))
+                        .collect(Collectors.groupingBy(Route::host));
+        mServices = Map.copyOf(services);
+        mLimits = limits;
+    }
+
+    /**
+     * Finds the route of a request: the longest prefix among those of the host.
+     *
+     * @param host the host that the caller named
+     * @param path the path without its query
+     * @return the route, or empty if none matches
+     */
+    public Optional<Route> match(String host, String path) {
+        return mRoutes.getOrDefault(host, List.of()).stream()
+                .filter(r -> path.startsWith(r.prefix()))
+                .findFirst();
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return grows with each change
+     */
+    public long version() {
+        return mVersion;
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or empty if there is none
+     */
+    public Optional<ServiceSpec> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /**
+     * Returns the bounds on what callers may send.
+     *
+     * @return the bounds
+     */
+    public ClientLimits limits() {
+        return mLimits;
+    }
+
+    /**
+     * Returns the number of routes.
+     *
+     * @return the count over all hosts
+     */
+    public int routeCount() {
+        return mRoutes.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
@@ -0,0 +1,57 @@
+package org.fescuehollow.dispatch;
+
+import java.util.List;
+import org.fescuehollow.catalog.AdapterKey;
+
+/**
+ * What the decisions need to know of one request.
+ *
+ * <p>Immutable and safe for use by any thread. Times are by the monotonic clock.
+ *
+ * @param id the caller's id of the request
+ * @param service the service that its route leads to
+ * @param adapter the adapter it names; {@link AdapterKey#NONE} for plain services
+ * @param version the least version of the adapter that will do; 0 if any
+ * @param promptTokens tokens to read
+ * @param outputTokens tokens expected to be written
+ * @param parts the shared parts of its prompt in order
+ * @param rank its priority, 0 being the most urgent
+ * @param arrivedNanos when it arrived
+ * @param targetNanos when its latency objective ends
+ * @param deadlineNanos when its final answer is due
+ */
+public record CallNeeds(
+        String id,
+        String service,
+        AdapterKey adapter,
+        long version,
+        int promptTokens,
+        int outputTokens,
+        List<PromptPart> parts,
+        int rank,
+        long arrivedNanos,
+        long targetNanos,
+        long deadlineNanos) {
+    /** Copies the list. */
+    public CallNeeds {
+        parts = List.copyOf(parts);
+    }
+
+    /**
+     * Returns the memory that the request takes on an engine.
+     *
+     * @return tokens read and written
+     */
+    public int cacheTokens() {
+        return promptTokens + outputTokens;
+    }
+
+    /**
+     * Tells whether the request runs on a model engine.
+     *
+     * @return false for plain services
+     */
+    public boolean needsModel() {
+        return !adapter.model().isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -0,0 +1,301 @@
+package org.fescuehollow.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.EngineSpec;
+import org.fescuehollow.hashing.Rendezvous;
+import org.fescuehollow.residency.ResidencyTable;
+
+/**
+ * Chooses the engine of each request.
+ *
+ * <p>Load pattern: prompts are long and shared, few adapters fit on an engine, and a few adapters
+ * get most of the requests. Among the engines that have the adapter, the one goes first that will
+ * have read the prompt soonest, counting what all nodes have sent and what the engine keeps of it.
+ * When all of them are busy, one more engine is asked to load the adapter.
+ *
+ * <p>Invariants: an engine that drains, is unreachable or lacks the adapter is never chosen. Not
+ * safe for concurrent use.
+ */
+public final class Dispatcher {
+    /** Prompt tokens that an engine reads in a millisecond until it is measured; a common GPU. */
+    private static final double TOKENS_PER_MILLI = 30;
+
+    /** A running request slows the others by about this much of a step, in milliseconds. */
+    private static final double RUNNING_MILLIS = 1.0;
+
+    /** One more engine loads an adapter when those that have it are this much behind. */
+    private static final double SPREAD_MILLIS = 180;
+
+    /** Memory filled beyond this share makes engines preempt requests. */
+    private static final double CACHE_SHARE = 0.92;
+
+    /** Added for an engine of another failure domain: the way there and back. */
+    private static final double FAR_MILLIS = 3;
+
+    /** Added for an engine that fails all its requests; about the latency objective. */
+    private static final double FAILING_MILLIS = 1_500;
+
+    /** A load that isn't done after this time is asked of another engine. */
+    private static final long LOAD_PATIENCE_NANOS = Duration.ofMillis(900).toNanos();
+
+    private final String mDomain;
+    private final ResidencyTable mResidency;
+    private final Map<String, EngineLoad> mEngines = new HashMap<>();
+    private final Map<AdapterKey, LoadTarget> mTargets = new HashMap<>();
+    private Function<String, Optional<EngineSpec>> mSpecs = s -> Optional.empty();
+
+    /** The engine that was asked to load an adapter. */
+    private record LoadTarget(String engine, long sinceNanos, int skipped) {}
+
+    /**
+     * Creates a dispatcher that knows no engines.
+     *
+     * @param domain the failure domain of this node
+     * @param residency where adapters are
+     */
+    public Dispatcher(String domain, ResidencyTable residency) {
+        mDomain = domain;
+        mResidency = residency;
+    }
+
+    /**
+     * Takes the engines that exist.
+     *
+     * @param engines all of them
+     * @param specs finds what the engines of a service have room for
+     */
+    public void engines(
+            Collection<Engine> engines, Function<String, Optional<EngineSpec>> specs) {
+        mSpecs = specs;
+        Set<String> ids = engines.stream().map(Engine::id).collect(Collectors.toSet());
+        mEngines.keySet().retainAll(ids);
+        mResidency.retain(ids);
+        engines.forEach(
+                e -> mEngines.computeIfAbsent(e.id(), id -> new EngineLoad(e)).update(e));
+    }
+
+    /**
+     * Decides what to do with a request.
+     *
+     * @param call the request
+     * @param avoided engines that have refused or failed it
+     * @param now the monotonic time in nanoseconds
+     * @return the decision
+     */
+    public Placement place(CallNeeds call, Set<String> avoided, long now) {
+        List<EngineLoad> usable = usable(call.service(), avoided, now);
+        if (usable.isEmpty()) {
+            return new Placement.Wait(Placement.Reason.NO_SERVER, Optional.empty());
+        }
+        List<EngineLoad> holding = usable.stream().filter(e -> holds(e, call, now)).toList();
+        Optional<EngineLoad> best =
+                holding.stream()
+                        .filter(e -> !isFull(e, call, now))
+                        .min(Comparator.comparingDouble(e -> score(e, call, now)));
+        if (best.isEmpty()) {
+            Placement.Reason reason =
+                    holding.isEmpty()
+                            ? Placement.Reason.ADAPTER_ABSENT
+                            : Placement.Reason.ENGINES_FULL;
+            return new Placement.Wait(reason, loadTarget(call, usable, now));
+        }
+        mTargets.remove(call.adapter());
+        boolean busy = call.adapter().isAdapter() && score(best.get(), call, now) > SPREAD_MILLIS;
+        Optional<String> more = busy ? spreadTarget(call, usable, best.get(), now) : Optional.empty();
+        return new Placement.Send(best.get().engine().id(), more);
+    }
+
+    private List<EngineLoad> usable(String service, Set<String> avoided, long now) {
+        List<EngineLoad> all = new ArrayList<>();
+        for (EngineLoad e : mEngines.values()) {
+            if (e.engine().service().equals(service) && !e.engine().draining()) {
+                all.add(e);
+            }
+        }
+        List<EngineLoad> open = all.stream().filter(e -> !e.health().isBlocked(now)).toList();
+        List<EngineLoad> fresh =
+                open.stream().filter(e -> !avoided.contains(e.engine().id())).toList();
+        return fresh.isEmpty() ? open : fresh;
+    }
+
+    private boolean holds(EngineLoad e, CallNeeds call, long now) {
+        if (!call.needsModel()) {
+            return true;
+        }
+        if (!call.adapter().isAdapter()) {
+            return e.engine().models().contains(call.adapter().model());
+        }
+        return mResidency.isResident(e.engine().id(), call.adapter(), call.version(), now);
+    }
+
+    private boolean isFull(EngineLoad e, CallNeeds call, long now) {
+        EngineLoad.Work work = e.total(now);
+        long memory = mSpecs.apply(call.service()).map(EngineSpec::cacheTokens).orElse(0L);
+        return e.engine().slots() > 0 && work.running() >= e.engine().slots()
+                || call.needsModel()
+                        && work.running() > 0
+                        && work.cacheTokens() + call.cacheTokens() > memory * CACHE_SHARE;
+    }
+
+    private double score(EngineLoad e, CallNeeds call, long now) {
+        EngineLoad.Work work = e.total(now);
+        double far = e.engine().domain().equals(mDomain) ? 0 : FAR_MILLIS;
+        double reading =
+                call.needsModel()
+                        ? (work.unreadTokens() + e.unreadTokens(call)) / TOKENS_PER_MILLI
+                        : work.running() * 40.0 / Math.max(1, e.engine().slots());
+        return reading
+                + work.running() * RUNNING_MILLIS
+                + far
+                + e.health().failureShare(now) * FAILING_MILLIS;
+    }
+
+    /** The engine that should load an adapter that no usable engine can serve. */
+    private Optional<String> loadTarget(CallNeeds call, List<EngineLoad> usable, long now) {
+        if (!call.adapter().isAdapter()) {
+            return Optional.empty();
+        }
+        LoadTarget t = mTargets.get(call.adapter());
+        boolean keep =
+                t != null
+                        && now - t.sinceNanos() < LOAD_PATIENCE_NANOS
+                        && usable.stream().anyMatch(e -> e.engine().id().equals(t.engine()));
+        if (keep) {
+            return Optional.of(t.engine());
+        }
+        List<EngineLoad> ranked = ranked(call, usable, now);
+        if (ranked.isEmpty()) {
+            return Optional.empty();
+        }
+        int skip = t == null ? 0 : t.skipped() + 1;
+        String engine = ranked.get(skip % ranked.size()).engine().id();
+        mTargets.put(call.adapter(), new LoadTarget(engine, now, skip));
+        return Optional.of(engine);
+    }
+
+    /** Engines with a holder that lack the adapter, in the order of the adapter's hash. */
+    private List<EngineLoad> ranked(CallNeeds call, List<EngineLoad> usable, long now) {
+        long key = Rendezvous.hash(call.adapter().toString());
+        return usable.stream()
+                .filter(e -> !holds(e, call, now))
+                .filter(e -> mResidency.holder(e.engine().id(), now).isPresent())
+                .sorted(
+                        Comparator.comparing(
+                                e -> Rendezvous.weight(key, Rendezvous.hash(e.engine().id())),
+                                (a, b) -> Long.compareUnsigned(b, a)))
+                .toList();
+    }
+
+    private Optional<String> spreadTarget(
+            CallNeeds call, List<EngineLoad> usable, EngineLoad best, long now) {
+        double limit = score(best, call, now) - SPREAD_MILLIS / 2;
+        return ranked(call, usable, now).stream()
+                .limit(3)
+                .filter(e -> score(e, call, now) < limit)
+                .map(e -> e.engine().id())
+                .findFirst();
+    }
+
+    /**
+     * Takes that a request was sent.
+     *
+     * @param engine the engine's id
+     * @param call the request
+     */
+    public void sent(String engine, CallNeeds call) {
+        long memory = mSpecs.apply(call.service()).map(EngineSpec::cacheTokens).orElse(0L);
+        find(engine).ifPresent(e -> e.sent(call, memory));
+    }
+
+    /**
+     * Takes that an engine began to answer a request.
+     *
+     * @param engine the engine's id
+     * @param call the request
+     */
+    public void answering(String engine, CallNeeds call) {
+        find(engine).ifPresent(e -> e.answering(call));
+    }
+
+    /**
+     * Takes that a request ended on an engine, however it did.
+     *
+     * @param engine the engine's id
+     * @param call the request
+     */
+    public void ended(String engine, CallNeeds call) {
+        find(engine).ifPresent(e -> e.ended(call));
+    }
+
+    /**
+     * Takes another node's work on an engine.
+     *
+     * @param engine the engine's id
+     * @param node the node
+     * @param work its work
+     * @param adapters the adapters its requests use there
+     * @param now the monotonic time in nanoseconds
+     */
+    public void others(
+            String engine, String node, EngineLoad.Work work, Set<AdapterKey> adapters, long now) {
+        find(engine).ifPresent(e -> e.others(node, work, adapters, now));
+    }
+
+    /**
+     * Returns an engine's health record, to be told of successes and failures.
+     *
+     * @param engine the engine's id
+     * @return the record, or empty if the engine is gone
+     */
+    public Optional<EngineHealth> health(String engine) {
+        return find(engine).map(EngineLoad::health);
+    }
+
+    /**
+     * Returns this node's own work on an engine.
+     *
+     * @param engine the engine's id
+     * @return the work; none if the engine is gone
+     */
+    public EngineLoad.Work own(String engine) {
+        return find(engine).map(EngineLoad::own).orElse(EngineLoad.Work.NONE);
+    }
+
+    /**
+     * Returns the adapters that this node's requests use on an engine.
+     *
+     * @param engine the engine's id
+     * @return the adapters
+     */
+    public Set<AdapterKey> ownAdapters(String engine) {
+        return find(engine).map(EngineLoad::ownAdapters).orElse(Set.of());
+    }
+
+    /**
+     * Tells whether requests of any node use an adapter on an engine.
+     *
+     * @param engine the engine's id
+     * @param adapter the adapter
+     * @param now the monotonic time in nanoseconds
+     * @return true as far as this node knows
+     */
+    public boolean isInUse(String engine, AdapterKey adapter, long now) {
+        return find(engine).map(e -> e.isInUse(adapter, now)).orElse(false);
+    }
+
+    private Optional<EngineLoad> find(String engine) {
+        return Optional.ofNullable(mEngines.get(engine));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
@@ -0,0 +1,116 @@
+package org.fescuehollow.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+
+/**
+ * The work that this node and the others have on one engine.
+ *
+ * <p>Not safe for concurrent use.
+ */
+public final class EngineLoad {
+    /** What another node says is believed this long; nodes speak each 200 ms. */
+    private static final long SHARE_NANOS = Duration.ofMillis(1_000).toNanos();
+
+    private Engine mEngine;
+    private final EngineHealth mHealth = new EngineHealth();
+    private final PrefixMemory mPrefixes = new PrefixMemory();
+    private final Map<String, Running> mOwn = new HashMap<>();
+    private final Map<String, Share> mOthers = new HashMap<>();
+
+    /**
+     * One node's work on an engine.
+     *
+     * @param running requests that were sent and haven't ended
+     * @param unreadTokens prompt tokens of those without a first answer
+     * @param cacheTokens memory that they take
+     */
+    public record Work(int running, long unreadTokens, long cacheTokens) {
+        /** No work. */
+        public static final Work NONE = new Work(0, 0, 0);
+
+        private Work plus(Work other) {
+            return new Work(
+                    running + other.running,
+                    unreadTokens + other.unreadTokens,
+                    cacheTokens + other.cacheTokens);
+        }
+    }
+
+    /** A request of this node that runs. */
+    private record Running(CallNeeds call, int unread) {}
+
+    /** Another node's work and when it was heard. */
+    private record Share(Work work, Set<AdapterKey> adapters, long heardNanos) {}
+
+    EngineLoad(Engine engine) {
+        mEngine = engine;
+    }
+
+    void update(Engine engine) {
+        if (!engine.isSameLife(mEngine)) {
+            mPrefixes.clear();
+        }
+        mEngine = engine;
+    }
+
+    Engine engine() {
+        return mEngine;
+    }
+
+    EngineHealth health() {
+        return mHealth;
+    }
+
+    int unreadTokens(CallNeeds call) {
+        return Math.max(0, call.promptTokens() - mPrefixes.kept(call.adapter(), call.parts()));
+    }
+
+    void sent(CallNeeds call, long capacity) {
+        mOwn.put(call.id(), new Running(call, unreadTokens(call)));
+        mPrefixes.read(call.adapter(), call.parts(), capacity);
+    }
+
+    void answering(CallNeeds call) {
+        mOwn.computeIfPresent(call.id(), (id, r) -> new Running(call, 0));
+    }
+
+    void ended(CallNeeds call) {
+        mOwn.remove(call.id());
+    }
+
+    void others(String node, Work work, Set<AdapterKey> adapters, long now) {
+        mOthers.put(node, new Share(work, adapters, now));
+    }
+
+    /** Returns this node's own work. */
+    Work own() {
+        return new Work(
+                mOwn.size(),
+                mOwn.values().stream().mapToLong(Running::unread).sum(),
+                mOwn.values().stream().mapToLong(r -> r.call().cacheTokens()).sum());
+    }
+
+    /** Returns the adapters that this node's requests use. */
+    Set<AdapterKey> ownAdapters() {
+        return mOwn.values().stream().map(r -> r.call().adapter()).collect(Collectors.toSet());
+    }
+
+    /** Returns the work of all nodes that were heard lately. */
+    Work total(long now) {
+        mOthers.values().removeIf(s -> now - s.heardNanos() > SHARE_NANOS);
+        return mOthers.values().stream().map(Share::work).reduce(own(), Work::plus);
+    }
+
+    boolean isInUse(AdapterKey adapter, long now) {
+        return ownAdapters().contains(adapter)
+                || mOthers.values().stream()
+                        .filter(s -> now - s.heardNanos() <= SHARE_NANOS)
+                        .anyMatch(s -> s.adapters().contains(adapter));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -0,0 +1,191 @@
+package org.fescuehollow.exchange;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehollow.hashing.Rendezvous;
+
+/**
+ * The entry nodes that this node has heard of, and how well each hears this one.
+ *
+ * <p>Invariants: a message older than one already taken of the same life changes nothing; a node
+ * that fell silent stays known for {@link #FORGET}, as it may only be cut off. Not safe for
+ * concurrent use.
+ */
+public final class PeerTable {
+    /** Longer than any partition that is likely; a replacement has another name or comes back. */
+    public static final Duration FORGET = Duration.ofSeconds(60);
+
+    /** A node unheard for longer is no longer counted as live. */
+    private static final long LIVE_NANOS = Duration.ofMillis(1_500).toNanos();
+
+    private final Peer mSelf;
+    private final Map<String, Known> mKnown = new HashMap<>();
+
+    /** What is known of one node; times are by this node's monotonic clock. */
+    private record Known(
+            Peer peer,
+            long incarnation,
+            long sequence,
+            long heardNanos,
+            Optional<Long> heardMeNanos,
+            boolean leaving) {}
+
+    /**
+     * Creates a table that knows only this node.
+     *
+     * @param self this node
+     */
+    public PeerTable(Peer self) {
+        mSelf = self;
+    }
+
+    /**
+     * Takes a message of another node.
+     *
+     * @param peer the sender
+     * @param incarnation the sender's life
+     * @param sequence the message's number in that life
+     * @param leaving whether the sender takes no more work
+     * @param heardMeMillis how long ago it heard this node, if it did
+     * @param now the monotonic time in nanoseconds
+     * @return true if the message is newer than those before
+     */
+    public boolean heard(
+            Peer peer,
+            long incarnation,
+            long sequence,
+            boolean leaving,
+            Optional<Long> heardMeMillis,
+            long now) {
+        Known k = mKnown.get(peer.name());
+        boolean old =
+                k != null
+                        && (incarnation < k.incarnation()
+                                || incarnation == k.incarnation() && sequence <= k.sequence());
+        if (old || peer.name().equals(mSelf.name())) {
+            return false;
+        }
+        Optional<Long> heardMe =
+                heardMeMillis.map(m -> now - Duration.ofMillis(m).toNanos());
+        mKnown.put(peer.name(), new Known(peer, incarnation, sequence, now, heardMe, leaving));
+        return true;
+    }
+
+    /**
+     * Takes that another node knows a node.
+     *
+     * @param peer the node
+     * @param now the monotonic time in nanoseconds
+     */
+    public void mentioned(Peer peer, long now) {
+        if (!peer.name().equals(mSelf.name())) {
+            mKnown.computeIfAbsent(
+                    peer.name(),
+                    n -> new Known(peer, 0, 0, now - LIVE_NANOS, Optional.empty(), false));
+        }
+    }
+
+    /**
+     * Returns when the last of the known nodes heard this one.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return a monotonic time; {@code now} if no other node is known
+     */
+    public long seenByAll(long now) {
+        return mKnown.values().stream()
+                .filter(k -> !k.leaving())
+                .mapToLong(k -> k.heardMeNanos().orElse(now - FORGET.toNanos()))
+                .min()
+                .orElse(now);
+    }
+
+    /**
+     * Returns this node's rank for an engine: nodes of the engine's failure domain rank first, and
+     * within each group a hash decides.
+     *
+     * @param engine the engine's id
+     * @param domain its failure domain
+     * @return how many known nodes rank better
+     */
+    public int rank(String engine, String domain) {
+        long key = Rendezvous.hash(engine);
+        Comparator<Peer> order =
+                Comparator.<Peer, Boolean>comparing(p -> !p.domain().equals(domain))
+                        .thenComparing(
+                                p -> Rendezvous.weight(key, Rendezvous.hash(p.name())),
+                                (a, b) -> Long.compareUnsigned(b, a));
+        return (int)
+                mKnown.values().stream()
+                        .filter(k -> !k.leaving())
+                        .filter(k -> order.compare(k.peer(), mSelf) < 0)
+                        .count();
+    }
+
+    /**
+     * Forgets nodes that were silent for long.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void forget(long now) {
+        mKnown.values().removeIf(k -> now - k.heardNanos() > FORGET.toNanos());
+    }
+
+    /**
+     * Returns the nodes known.
+     *
+     * @return a copy, without this node
+     */
+    public List<Peer> peers() {
+        List<Peer> peers = new ArrayList<>();
+        mKnown.values().forEach(k -> peers.add(k.peer()));
+        return peers;
+    }
+
+    /**
+     * Returns how long ago a node was heard.
+     *
+     * @param name the node
+     * @param now the monotonic time in nanoseconds
+     * @return milliseconds, or empty if it was never heard
+     */
+    public Optional<Long> heardMillisAgo(String name, long now) {
+        return Optional.ofNullable(mKnown.get(name))
+                .filter(k -> k.incarnation() > 0)
+                .map(k -> Duration.ofNanos(now - k.heardNanos()).toMillis());
+    }
+
+    /**
+     * Tells whether a node was heard lately.
+     *
+     * @param name the node
+     * @param now the monotonic time in nanoseconds
+     * @return true if it counts as live
+     */
+    public boolean isLive(String name, long now) {
+        return heardMillisAgo(name, now).map(m -> m * 1_000_000 < LIVE_NANOS).orElse(false);
+    }
+
+    /**
+     * Finds a node.
+     *
+     * @param name its name
+     * @return the node, or empty if it is unknown
+     */
+    public Optional<Peer> find(String name) {
+        return Optional.ofNullable(mKnown.get(name)).map(Known::peer);
+    }
+
+    /**
+     * Returns the number of nodes, this one included.
+     *
+     * @return at least one
+     */
+    public int size() {
+        return mKnown.size() + 1;
+    }
+}
--- a/core/src/main/java/org/fescuehollow/membership/PauseGuard.java
+++ b/core/src/main/java/org/fescuehollow/membership/PauseGuard.java
@@ -11,13 +11,15 @@
  * }</pre>
  *
  * <p>Invariant: after a gap between two checks that exceeds the limit, the listeners run before the
- * check returns. Check often while idle, so that only a pause makes a gap. Not safe for concurrent
- * use.
+ * check returns. Check often while idle, so that only a pause makes a gap. A monotonic clock that
+ * stands still in a suspended VM shows no gap; the time of day, if it is given too, does. Not safe
+ * for concurrent use.
  */
 public final class PauseGuard {
     private final long mLimitNanos;
     private final List<Runnable> mListeners = new ArrayList<>();
     private long mLastNanos;
+    private long mLastWallNanos;
     private boolean mStarted;
 
     /**
@@ -45,9 +47,22 @@
      * @return the same time
      */
     public long check(long now) {
-        boolean paused = mStarted && now - mLastNanos > mLimitNanos;
+        return check(now, mLastWallNanos + (now - mLastNanos));
+    }
+
+    /**
+     * Takes the time of an event by two clocks.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @param wall the time of day in nanoseconds
+     * @return the monotonic time
+     */
+    public long check(long now, long wall) {
+        long gap = Math.max(now - mLastNanos, wall - mLastWallNanos);
+        boolean paused = mStarted && gap > mLimitNanos;
         mStarted = true;
         mLastNanos = now;
+        mLastWallNanos = wall;
         if (paused) {
             mListeners.forEach(Runnable::run);
         }
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/residency/OrderReign.java
@@ -0,0 +1,165 @@
+package org.fescuehollow.residency;
+
+import java.time.Duration;
+
+/**
+ * Decides whether this node may give orders to one engine.
+ *
+ * <p>There is no consensus, and engines may not check fences. A node begins to order only after the
+ * engine was quiet for longer than the lease, and goes on only while others can see that it does:
+ * either all known nodes say that they hear it, or its own orders move the engine's count, which a
+ * rival reads before it begins.
+ *
+ * <p>Invariant: no order is given later than a third of the lease after others could last see the
+ * reign, so that a rival's wait leaves a whole lease between the two. Not safe for concurrent use.
+ */
+public final class OrderReign {
+    /** Parts of the lease for which a reign that nobody sees any more goes on. */
+    private static final int IDLE_PARTS = 3;
+
+    /** Added to a rival's wait for late reports and messages. */
+    private static final long LAG_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** Between the claims of two ranks: an order is visible in reports after about half of it. */
+    private static final long STEP_NANOS = Duration.ofMillis(800).toNanos();
+
+    private final long mLeaseNanos;
+    private final long mIdleNanos;
+    private boolean mHolding;
+    private long mQuietSince;
+    private long mLastSeen;
+    private long mCount;
+
+    /**
+     * Creates the reign of a node that knows nothing of the engine's orders yet.
+     *
+     * @param leaseMillis the time within which two nodes must not take turns
+     * @param now the monotonic time in nanoseconds
+     */
+    public OrderReign(long leaseMillis, long now) {
+        mLeaseNanos = Duration.ofMillis(leaseMillis).toNanos();
+        mIdleNanos = mLeaseNanos / IDLE_PARTS;
+        mQuietSince = now;
+        mCount = -1;
+    }
+
+    /**
+     * Takes the engine's count of orders from a report.
+     *
+     * @param count the count
+     * @param now the monotonic time in nanoseconds
+     */
+    public void observe(long count, long now) {
+        if (mHolding || count == mCount) {
+            return;
+        }
+        boolean neverOrdered = mCount < 0 && count == 0;
+        mQuietSince = neverOrdered ? now - mLeaseNanos - mIdleNanos : now;
+        mCount = count;
+    }
+
+    /**
+     * Takes that another node says it holds the engine.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void rivalHeard(long now) {
+        mQuietSince = Math.max(mQuietSince, now);
+    }
+
+    /**
+     * Tells whether this node may begin to order.
+     *
+     * @param rank how many nodes rank better for the engine, dead or not
+     * @param now the monotonic time in nanoseconds
+     * @return true once the engine was quiet long enough
+     */
+    public boolean mayClaim(int rank, long now) {
+        long wait = mLeaseNanos + mIdleNanos + LAG_NANOS + rank * STEP_NANOS;
+        return !mHolding && mCount >= 0 && now - mQuietSince >= wait;
+    }
+
+    /**
+     * Begins to hold the engine.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void claim(long now) {
+        mHolding = true;
+        mLastSeen = now;
+    }
+
+    /**
+     * Tells whether an order may be given now, and gives up a reign that has lapsed.
+     *
+     * @param seenByAll when the last of the known nodes heard this one, by the monotonic clock
+     * @param now the monotonic time in nanoseconds
+     * @return true if an order may be sent at once
+     */
+    public boolean mayOrder(long seenByAll, long now) {
+        mLastSeen = Math.max(mLastSeen, seenByAll);
+        if (mHolding && now - mLastSeen > mLeaseNanos) {
+            lose(now);
+        }
+        return mHolding && now - mLastSeen <= mIdleNanos;
+    }
+
+    /**
+     * Tells whether the engine's count has to move soon for the reign to last.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return true once more than half of the time is over
+     */
+    public boolean needsVisibleOrder(long now) {
+        return mHolding && now - mLastSeen > mIdleNanos * 6 / 10;
+    }
+
+    /**
+     * Takes that the engine accepted an order that moved its count.
+     *
+     * @param sentNanos when the order was sent, by the monotonic clock
+     */
+    public void accepted(long sentNanos) {
+        mCount++;
+        mLastSeen = Math.max(mLastSeen, sentNanos);
+    }
+
+    /**
+     * Gives up the reign, after a pause or an unexpected answer.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void lose(long now) {
+        mHolding = false;
+        mQuietSince = now;
+        mCount = -1;
+    }
+
+    /**
+     * Takes that the engine began a new life, in which its count starts anew.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void engineRestarted(long now) {
+        mCount = mHolding ? 0 : -1;
+        mQuietSince = now;
+    }
+
+    /**
+     * Tells whether this node holds the engine.
+     *
+     * @return true from a claim to the loss
+     */
+    public boolean isHolding() {
+        return mHolding;
+    }
+
+    /**
+     * Returns the engine's count of orders as this node knows it.
+     *
+     * @return the count to expect; negative if unknown
+     */
+    public long count() {
+        return mCount;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -0,0 +1,249 @@
+package org.fescuehollow.gateway.calls;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.RouteKind;
+import org.fescuehollow.dispatch.EngineHealth;
+import org.fescuehollow.platform.AnswerHead;
+import org.fescuehollow.platform.RequestHead;
+
+/**
+ * One attempt of a request at one engine, on a connection of its own.
+ *
+ * <p>A connection carries one request, so that late or additional bytes can't reach another, and an
+ * idle connection that the engine closes can't lose one.
+ *
+ * <p>Invariant: tells its call exactly once how it ended, unless it was cancelled. Used on the
+ * node's loop.
+ */
+final class Attempt {
+    /** The longest time for a connection: a few times the way to the farthest domain. */
+    private static final long CONNECT_MILLIS = 250;
+
+    private static final int SERVER_ERROR = 500;
+    private static final int SUCCESS = 200;
+    private static final int REDIRECT = 300;
+
+    private final CallContext mContext;
+    private final CallFlow mCall;
+    private final Engine mEngine;
+    private Optional<HttpClientRequest> mRequest = Optional.empty();
+    private boolean mEnded;
+
+    Attempt(CallContext context, CallFlow call, Engine engine) {
+        mContext = context;
+        mCall = call;
+        mEngine = engine;
+    }
+
+    Engine engine() {
+        return mEngine;
+    }
+
+    void start() {
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(mEngine.host())
+                        .setPort(mEngine.port())
+                        .setMethod(mCall.request().method())
+                        .setURI(mCall.request().uri())
+                        .setConnectTimeout(CONNECT_MILLIS);
+        mContext.node()
+                .client()
+                .request(options)
+                .onSuccess(this::connected)
+                .onFailure(this::unreachable);
+    }
+
+    /** Ends the attempt; the engine sees its connection closed. */
+    void cancel() {
+        mEnded = true;
+        mRequest.ifPresent(r -> r.connection().close());
+    }
+
+    private void unreachable(Throwable cause) {
+        if (end()) {
+            health().ifPresent(h -> h.unreachable(mContext.now()));
+            mCall.notRun(mEngine, "unreachable " + cause.getMessage(), false);
+        }
+    }
+
+    private void connected(HttpClientRequest request) {
+        if (mEnded) {
+            request.connection().close();
+            return;
+        }
+        mRequest = Optional.of(request);
+        RequestHead.forward(
+                mCall.request().headers(),
+                request.headers(),
+                mEngine.id(),
+                mCall.leftMillis(),
+                Math.min(9, mCall.route().rank()));
+        if (!mCall.events().lastId().isEmpty()) {
+            RequestHead.resumeAfter(request.headers(), mCall.events().lastId());
+        }
+        request.exceptionHandler(this::broken);
+        request.response().onSuccess(this::answered).onFailure(this::broken);
+        mCall.running();
+        write(request);
+    }
+
+    private void write(HttpClientRequest request) {
+        Buffer body = mCall.body();
+        if (body.length() > 0) {
+            request.end(body).onFailure(this::broken);
+            return;
+        }
+        if (!request.getMethod().equals(HttpMethod.GET)) {
+            request.putHeader(HttpHeaders.CONTENT_LENGTH, "0");
+        }
+        request.end().onFailure(this::broken);
+    }
+
+    private void broken(Throwable cause) {
+        if (end()) {
+            closeConnection();
+            health().ifPresent(h -> h.failed(mContext.now()));
+            mCall.lost(mEngine, "broken " + cause.getMessage());
+        }
+    }
+
+    private boolean end() {
+        boolean first = !mEnded;
+        mEnded = true;
+        return first;
+    }
+
+    private Optional<EngineHealth> health() {
+        return mContext.dispatcher().health(mEngine.id());
+    }
+
+    private void closeConnection() {
+        mRequest.ifPresent(r -> r.connection().close());
+    }
+
+    private void answered(HttpClientResponse response) {
+        if (mEnded) {
+            return;
+        }
+        response.exceptionHandler(this::broken);
+        AnswerHead head = AnswerHead.of(response.statusCode(), response.headers());
+        boolean foreign =
+                !head.attemptId().isEmpty() && !head.attemptId().equals(mCall.needs().id());
+        if (foreign) {
+            broken(new IllegalStateException("answer of another request"));
+        } else if (head.notExecuted()) {
+            refused(head);
+        } else if (isUnproven(head)) {
+            broken(new IllegalStateException("answer without proof of its server"));
+        } else if (head.status() >= SERVER_ERROR && mCall.canRunAgain()) {
+            end();
+            closeConnection();
+            health().ifPresent(h -> h.failed(mContext.now()));
+            mCall.runAgain(mEngine, "failed status " + head.status());
+        } else {
+            deliver(response, head);
+        }
+    }
+
+    private static boolean isUnproven(AnswerHead head) {
+        boolean success = head.status() >= SUCCESS && head.status() < REDIRECT;
+        return success && (!head.sealed() || head.encoded());
+    }
+
+    private void refused(AnswerHead head) {
+        end();
+        closeConnection();
+        boolean lacksAdapter =
+                head.isMisdirected()
+                        && mCall.needs().adapter().isAdapter()
+                        && (head.instance().isEmpty() || head.instance().equals(mEngine.id()));
+        if (lacksAdapter) {
+            mContext.residency().refused(mEngine.id(), mCall.needs().adapter());
+        } else if (head.isMisdirected()) {
+            health().ifPresent(h -> h.unreachable(mContext.now()));
+        }
+        mCall.notRun(mEngine, "refused status " + head.status(), true);
+    }
+
+    private void deliver(HttpClientResponse response, AnswerHead head) {
+        mContext.dispatcher().answering(mEngine.id(), mCall.needs());
+        if (mCall.route().kind() == RouteKind.STREAM && head.status() == SUCCESS) {
+            if (mCall.route().resumable()) {
+                response.handler(b -> relay(response, mCall.events().feed(b)));
+            } else {
+                response.handler(b -> relay(response, b));
+            }
+            response.endHandler(v -> streamEnded(response));
+        } else {
+            response.body().onSuccess(b -> wholeAnswer(response, b)).onFailure(this::broken);
+        }
+    }
+
+    private void relay(HttpClientResponse response, Buffer data) {
+        if (mEnded || data.length() == 0) {
+            return;
+        }
+        beginAnswer(response);
+        mCall.answer().chunk(data);
+        if (mCall.answer().isFull()) {
+            response.pause();
+            mCall.answer().onDrain(response::resume);
+        }
+    }
+
+    private void beginAnswer(HttpClientResponse response) {
+        if (!mCall.answer().hasBegun()) {
+            mContext.node()
+                    .metrics()
+                    .firstByte(
+                            mCall.needs().service(),
+                            mContext.now() - mCall.needs().arrivedNanos());
+            mCall.answer().head(response.statusCode(), response.headers());
+        }
+    }
+
+    private void streamEnded(HttpClientResponse response) {
+        if (mEnded) {
+            return;
+        }
+        if (mCall.events().hasPartialEvent()) {
+            broken(new IllegalStateException("stream ended within an event"));
+            return;
+        }
+        end();
+        health().ifPresent(h -> h.succeeded(mContext.now()));
+        beginAnswer(response);
+        mCall.answer().end();
+        mCall.delivered(mEngine, response.statusCode());
+    }
+
+    private void wholeAnswer(HttpClientResponse response, Buffer body) {
+        if (!end()) {
+            return;
+        }
+        long now = mContext.now();
+        boolean failed = response.statusCode() >= SERVER_ERROR;
+        health().ifPresent(h -> note(h, failed, now));
+        mContext.node()
+                .metrics()
+                .firstByte(mCall.needs().service(), now - mCall.needs().arrivedNanos());
+        mCall.answer().whole(response.statusCode(), response.headers(), body);
+        mCall.delivered(mEngine, response.statusCode());
+    }
+
+    private static void note(EngineHealth health, boolean failed, long now) {
+        if (failed) {
+            health.failed(now);
+        } else {
+            health.succeeded(now);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallContext.java
@@ -0,0 +1,116 @@
+package org.fescuehollow.gateway.calls;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.dispatch.RetryWindow;
+import org.fescuehollow.dispatch.WaitQueue;
+import org.fescuehollow.gateway.exchange.ExchangeService;
+import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.gateway.node.NodeSettings;
+import org.fescuehollow.gateway.orders.OrderService;
+import org.fescuehollow.gateway.store.CatalogService;
+import org.fescuehollow.residency.ResidencyTable;
+
+/** What all requests of a node share. Used on the node's loop. */
+final class CallContext {
+    private final NodeContext mNode;
+    private final CatalogService mCatalog;
+    private final Dispatcher mDispatcher;
+    private final ResidencyTable mResidency;
+    private final OrderService mOrders;
+    private final ExchangeService mExchange;
+    private final WaitQueue<CallFlow> mQueue = new WaitQueue<>(CallFlow::needs);
+    private final Map<String, RetryWindow> mRetries = new HashMap<>();
+    private int mOpen;
+    private boolean mLeaving;
+
+    CallContext(
+            NodeContext node,
+            CatalogService catalog,
+            Dispatcher dispatcher,
+            ResidencyTable residency,
+            OrderService orders,
+            ExchangeService exchange) {
+        mNode = node;
+        mCatalog = catalog;
+        mDispatcher = dispatcher;
+        mResidency = residency;
+        mOrders = orders;
+        mExchange = exchange;
+    }
+
+    NodeContext node() {
+        return mNode;
+    }
+
+    CatalogService catalog() {
+        return mCatalog;
+    }
+
+    Dispatcher dispatcher() {
+        return mDispatcher;
+    }
+
+    ResidencyTable residency() {
+        return mResidency;
+    }
+
+    OrderService orders() {
+        return mOrders;
+    }
+
+    WaitQueue<CallFlow> queue() {
+        return mQueue;
+    }
+
+    long now() {
+        return mNode.clock().now();
+    }
+
+    private RetryWindow retries(String service) {
+        NodeSettings s = mNode.settings();
+        return mRetries.computeIfAbsent(
+                service,
+                k ->
+                        new RetryWindow(
+                                s.retryRatio(),
+                                s.retrySlack(),
+                                (long) (s.retryWindowSeconds() * 1e9)));
+    }
+
+    void countRequest(String service) {
+        retries(service).request(now());
+    }
+
+    boolean tryRepeat(String service) {
+        return retries(service).tryRepeat(mExchange.peers().size(), now());
+    }
+
+    /** Offers waiting requests to the engines, in order. */
+    void offerWaiting() {
+        if (mQueue.size() > 0) {
+            mQueue.offer(CallFlow::tryPlace, now());
+        }
+    }
+
+    void opened() {
+        mOpen++;
+    }
+
+    void closed() {
+        mOpen--;
+    }
+
+    int open() {
+        return mOpen;
+    }
+
+    void leave() {
+        mLeaving = true;
+    }
+
+    boolean isLeaving() {
+        return mLeaving;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -0,0 +1,332 @@
+package org.fescuehollow.gateway.calls;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.Route;
+import org.fescuehollow.dispatch.CallNeeds;
+import org.fescuehollow.dispatch.Placement;
+import org.fescuehollow.platform.RequestHead;
+
+/**
+ * One request from its arrival to its final answer.
+ *
+ * <p>Invariants: it ends exactly once; a request that may run only once is sent again only if the
+ * attempt before certainly did not run; a refusal that says "not run" is given only if no attempt
+ * may have run. Used on the node's loop.
+ */
+final class CallFlow {
+    /** Of the time that a request has, the part after which waiting for an engine ends. */
+    private static final double WAITING_SHARE = 0.6;
+
+    /** Of the time left, the part after which the caller may come back; callers honour a third. */
+    private static final double RETURN_SHARE = 0.3;
+
+    /** A repeat with less time left than this can't be answered in time. */
+    private static final long LEAST_REPEAT_NANOS = Duration.ofMillis(60).toNanos();
+
+    private final CallContext mContext;
+    private final HttpServerRequest mRequest;
+    private final Buffer mBody;
+    private final Route mRoute;
+    private final RequestHead mHead;
+    private final CallNeeds mNeeds;
+    private final CallAnswer mAnswer;
+    private final EventSplitter mEvents = new EventSplitter();
+    private final Set<String> mAvoided = new HashSet<>();
+    private Optional<Attempt> mAttempt = Optional.empty();
+    private boolean mMayHaveRun;
+    private boolean mDone;
+    private int mRuns;
+    private long mDeadlineTimer = -1;
+    private long mWaitTimer = -1;
+
+    CallFlow(
+            CallContext context,
+            HttpServerRequest request,
+            Buffer body,
+            Route route,
+            RequestHead head,
+            CallNeeds needs) {
+        mContext = context;
+        mRequest = request;
+        mBody = body;
+        mRoute = route;
+        mHead = head;
+        mNeeds = needs;
+        mAnswer = new CallAnswer(context, request);
+    }
+
+    static CallNeeds needs(
+            CallContext context, Route route, RequestHead head, double draw, long now) {
+        long millis =
+                Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(Long.MAX_VALUE));
+        AdapterKey adapter = head.adapter();
+        return new CallNeeds(
+                head.attemptId(),
+                route.service(draw),
+                adapter,
+                context.catalog().version(adapter),
+                head.promptTokens(),
+                head.expectedOutputTokens(),
+                head.parts(),
+                route.rank(),
+                now,
+                now + Duration.ofMillis(route.targetMillis()).toNanos(),
+                now + Duration.ofMillis(millis).toNanos());
+    }
+
+    CallNeeds needs() {
+        return mNeeds;
+    }
+
+    HttpServerRequest request() {
+        return mRequest;
+    }
+
+    Buffer body() {
+        return mBody;
+    }
+
+    Route route() {
+        return mRoute;
+    }
+
+    CallAnswer answer() {
+        return mAnswer;
+    }
+
+    EventSplitter events() {
+        return mEvents;
+    }
+
+    boolean isDone() {
+        return mDone;
+    }
+
+    /** Returns how long an answer is still of use, in milliseconds. */
+    long leftMillis() {
+        return Math.max(1, Duration.ofNanos(mNeeds.deadlineNanos() - mContext.now()).toMillis());
+    }
+
+    void start() {
+        mContext.opened();
+        mContext.countRequest(mNeeds.service());
+        mRequest.response().closeHandler(v -> callerLeft());
+        mRequest.response().exceptionHandler(e -> callerLeft());
+        mDeadlineTimer = timer(leftMillis(), this::timeOver);
+        placeOrWait();
+    }
+
+    private long timer(long millis, Runnable action) {
+        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> action.run());
+    }
+
+    private void placeOrWait() {
+        if (!mDone && !tryPlace()) {
+            mContext.queue().add(this);
+            if (mWaitTimer < 0) {
+                mWaitTimer = timer((long) (leftMillis() * WAITING_SHARE), this::waitedTooLong);
+            }
+        }
+    }
+
+    /** Sends the request if an engine can take it now. */
+    boolean tryPlace() {
+        if (mDone) {
+            return true;
+        }
+        long now = mContext.now();
+        Placement placement = mContext.dispatcher().place(mNeeds, mAvoided, now);
+        if (placement instanceof Placement.Send s) {
+            s.loadOn().ifPresent(this::want);
+            return mContext.catalog().engine(s.engine()).map(e -> send(e, now)).orElse(false);
+        }
+        Placement.Wait w = (Placement.Wait) placement;
+        w.loadOn().ifPresent(this::want);
+        return false;
+    }
+
+    private void want(String engine) {
+        mContext.orders().want(engine, mNeeds.adapter(), mNeeds.version());
+    }
+
+    private boolean send(Engine engine, long now) {
+        mContext.dispatcher().sent(engine.id(), mNeeds);
+        Attempt attempt = new Attempt(mContext, this, engine);
+        mAttempt = Optional.of(attempt);
+        mContext.node()
+                .log()
+                .line(
+                        "sent",
+                        "id",
+                        mNeeds.id(),
+                        "route",
+                        mRoute.name(),
+                        "engine",
+                        engine.id(),
+                        "adapter",
+                        mNeeds.adapter(),
+                        "waited_ms",
+                        Duration.ofNanos(now - mNeeds.arrivedNanos()).toMillis(),
+                        "runs",
+                        mRuns);
+        attempt.start();
+        return true;
+    }
+
+    /** Takes that an attempt's bytes are on their way. */
+    void running() {
+        mRuns++;
+    }
+
+    /** Takes that an attempt certainly did not run. */
+    void notRun(Engine engine, String cause, boolean arrived) {
+        attemptEnded(engine, cause);
+        mRuns -= arrived ? 1 : 0;
+        mAvoided.add(engine.id());
+        boolean again = hasTime() && (!arrived || mContext.tryRepeat(mNeeds.service()));
+        if (again) {
+            placeOrWait();
+        } else {
+            giveUp();
+        }
+    }
+
+    /** Takes that an attempt may have run and its answer is lost. */
+    void lost(Engine engine, String cause) {
+        attemptEnded(engine, cause);
+        mMayHaveRun = true;
+        if (canRunAgain()) {
+            mAvoided.add(engine.id());
+            mEvents.dropPartialEvent();
+            placeOrWait();
+        } else if (mAnswer.hasBegun()) {
+            abort(cause);
+        } else {
+            refuse(Outcome.ANSWER_LOST);
+        }
+    }
+
+    /** Takes one repeat of a run if the route, the budget and the time allow it. */
+    boolean canRunAgain() {
+        return mRoute.isRepeatable()
+                && mRuns < mRoute.maxAttempts()
+                && hasTime()
+                && mContext.tryRepeat(mNeeds.service());
+    }
+
+    /** Takes that the engine failed the request and that another one is to run it. */
+    void runAgain(Engine engine, String cause) {
+        attemptEnded(engine, cause);
+        mMayHaveRun = true;
+        mAvoided.add(engine.id());
+        placeOrWait();
+    }
+
+    private boolean hasTime() {
+        return mNeeds.deadlineNanos() - mContext.now() > LEAST_REPEAT_NANOS;
+    }
+
+    /** Takes that the engine's answer was delivered. */
+    void delivered(Engine engine, int status) {
+        attemptEnded(engine, "status " + status);
+        finish("status_" + status, engine.id());
+    }
+
+    private void attemptEnded(Engine engine, String how) {
+        mAttempt = Optional.empty();
+        mContext.dispatcher().ended(engine.id(), mNeeds);
+        mContext.node().metrics().attempt(mNeeds.service(), how.split(" ")[0]);
+        if (!how.startsWith("status 2")) {
+            mContext.node()
+                    .log()
+                    .line(
+                            "attempt_failed",
+                            "id",
+                            mNeeds.id(),
+                            "engine",
+                            engine.id(),
+                            "cause",
+                            how,
+                            "runs",
+                            mRuns);
+        }
+        mContext.offerWaiting();
+    }
+
+    private void giveUp() {
+        refuse(mMayHaveRun ? Outcome.ANSWER_LOST : Outcome.NOT_RUN);
+    }
+
+    private void waitedTooLong() {
+        if (!mDone && mAttempt.isEmpty()) {
+            giveUp();
+        }
+    }
+
+    private void timeOver() {
+        if (mDone) {
+            return;
+        }
+        boolean may = mMayHaveRun || mAttempt.isPresent();
+        mAttempt.ifPresent(Attempt::cancel);
+        if (mAnswer.hasBegun()) {
+            abort("time_over");
+        } else {
+            refuse(may ? Outcome.TIMED_OUT : Outcome.NOT_RUN);
+        }
+    }
+
+    private void refuse(Outcome outcome) {
+        if (mDone) {
+            return;
+        }
+        double seconds = leftMillis() * RETURN_SHARE / 1_000;
+        mAnswer.refuse(outcome, mHead.attemptId(), seconds);
+        finish(outcome.code(), "");
+    }
+
+    private void abort(String cause) {
+        mAnswer.abort();
+        finish("aborted", cause);
+    }
+
+    private void callerLeft() {
+        if (!mDone) {
+            mAttempt.ifPresent(Attempt::cancel);
+            finish("caller_left", "");
+        }
+    }
+
+    private void finish(String outcome, String detail) {
+        mDone = true;
+        mAttempt.ifPresent(a -> mContext.dispatcher().ended(a.engine().id(), mNeeds));
+        mAttempt = Optional.empty();
+        mContext.queue().remove(this);
+        mContext.closed();
+        mContext.node().vertx().cancelTimer(mDeadlineTimer);
+        mContext.node().vertx().cancelTimer(mWaitTimer);
+        mContext.node().metrics().request(mNeeds.service(), outcome);
+        mContext.node()
+                .log()
+                .line(
+                        "ended",
+                        "id",
+                        mNeeds.id(),
+                        "route",
+                        mRoute.name(),
+                        "outcome",
+                        outcome,
+                        "detail",
+                        detail,
+                        "ms",
+                        Duration.ofNanos(mContext.now() - mNeeds.arrivedNanos()).toMillis());
+        mContext.offerWaiting();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a request. */
+package org.fescuehollow.gateway.calls;
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/NewsCodec.java
@@ -0,0 +1,64 @@
+package org.fescuehollow.gateway.exchange;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.dispatch.EngineLoad;
+import org.fescuehollow.wire.ExchangeProto.Adapter;
+import org.fescuehollow.wire.ExchangeProto.EngineHolding;
+import org.fescuehollow.wire.ExchangeProto.EngineWork;
+
+/** Turns the product's types into messages between nodes and back. Stateless. */
+final class NewsCodec {
+    private NewsCodec() {}
+
+    static Adapter adapter(AdapterKey key, long version) {
+        return Adapter.newBuilder()
+                .setModel(key.model())
+                .setName(key.adapter())
+                .setVersion(version)
+                .build();
+    }
+
+    static AdapterKey key(Adapter adapter) {
+        return new AdapterKey(adapter.getModel(), adapter.getName());
+    }
+
+    static EngineWork work(String engine, EngineLoad.Work work, Set<AdapterKey> adapters) {
+        return EngineWork.newBuilder()
+                .setEngine(engine)
+                .setRunning(work.running())
+                .setUnreadTokens(work.unreadTokens())
+                .setCacheTokens(work.cacheTokens())
+                .addAllAdapters(adapters.stream().map(a -> adapter(a, 0)).toList())
+                .build();
+    }
+
+    static EngineLoad.Work work(EngineWork work) {
+        return new EngineLoad.Work(
+                work.getRunning(), work.getUnreadTokens(), work.getCacheTokens());
+    }
+
+    static Set<AdapterKey> adapters(EngineWork work) {
+        return work.getAdaptersList().stream().map(NewsCodec::key).collect(Collectors.toSet());
+    }
+
+    static EngineHolding holding(String engine, long fence, Map<AdapterKey, Long> adapters) {
+        return EngineHolding.newBuilder()
+                .setEngine(engine)
+                .setFence(fence)
+                .addAllAdapters(
+                        adapters.entrySet().stream()
+                                .map(e -> adapter(e.getKey(), e.getValue()))
+                                .toList())
+                .build();
+    }
+
+    static Map<AdapterKey, Long> adapters(EngineHolding holding) {
+        Map<AdapterKey, Long> all = new HashMap<>();
+        holding.getAdaptersList().forEach(a -> all.put(key(a), a.getVersion()));
+        return all;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry nodes. */
+package org.fescuehollow.gateway.exchange;
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package org.fescuehollow.gateway.log;
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms. */
+package org.fescuehollow.gateway.metrics;
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -0,0 +1,303 @@
+package org.fescuehollow.gateway.orders;
+
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.EngineState;
+import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.exchange.PeerTable;
+import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.platform.EngineControl;
+import org.fescuehollow.platform.OrderCall;
+import org.fescuehollow.residency.AdapterKeeper;
+import org.fescuehollow.residency.AdapterOrder;
+import org.fescuehollow.residency.OrderReign;
+import org.fescuehollow.residency.OrderReply;
+
+/**
+ * Carries out what {@link OrderReign} and {@link AdapterKeeper} decide for one engine.
+ *
+ * <p>Invariant: at most one order is under way, and none is sent without a reign. Used on the
+ * node's loop.
+ */
+final class EngineOrders {
+    /** Between reports of an engine that nobody holds; each is priced as a probe. */
+    private static final long REPORT_NANOS = Duration.ofMillis(400).toNanos();
+
+    /** Nodes of a worse rank don't ask for reports; the better ones claim before them. */
+    private static final int ASKING_RANKS = 3;
+
+    /** An order is asked about again after this time. */
+    private static final long ASK_MILLIS = 16;
+
+    /** A node knows the others by then, and hears who holds what. */
+    private static final long SETTLE_NANOS = Duration.ofMillis(2_000).toNanos();
+
+    private final NodeContext mContext;
+    private final EngineControl mControl;
+    private final Dispatcher mDispatcher;
+    private final PeerTable mPeers;
+    private final OrderService mOwner;
+    private final int mPlaces;
+    private final OrderReign mReign;
+    private final long mCreatedNanos;
+    private Engine mEngine;
+    private Optional<AdapterKeeper> mKeeper = Optional.empty();
+    private Optional<EngineState> mReport = Optional.empty();
+    private long mReportNanos;
+    private long mFence;
+    private boolean mBusy;
+
+    EngineOrders(
+            NodeContext context,
+            EngineControl control,
+            Dispatcher dispatcher,
+            PeerTable peers,
+            Engine engine,
+            int places,
+            OrderService owner) {
+        mContext = context;
+        mControl = control;
+        mDispatcher = dispatcher;
+        mPeers = peers;
+        mEngine = engine;
+        mPlaces = places;
+        mOwner = owner;
+        mCreatedNanos = context.clock().now();
+        mReign = new OrderReign(context.settings().leaseMillis(), mCreatedNanos);
+    }
+
+    void tick(Engine engine, long now) {
+        if (!engine.isSameLife(mEngine)) {
+            restarted(engine, now);
+        }
+        mEngine = engine;
+        if (mReign.isHolding()) {
+            hold(now);
+        } else {
+            observe(now);
+        }
+    }
+
+    private void restarted(Engine engine, long now) {
+        mContext.log().line("engine_restarted", "id", engine.id(), "holding", isHolding());
+        mReign.engineRestarted(now);
+        mReport = Optional.empty();
+        if (mReign.isHolding()) {
+            mKeeper = Optional.of(new AdapterKeeper(mPlaces, emptyState(engine)));
+            mOwner.changed(engine.id(), holding().orElseThrow());
+        }
+    }
+
+    private static EngineState emptyState(Engine e) {
+        return new EngineState(
+                e.startedMillis(),
+                0,
+                0,
+                0,
+                0,
+                e.models(),
+                Map.of(),
+                Map.of());
+    }
+
+    private void hold(long now) {
+        if (mReign.mayOrder(mPeers.seenByAll(now), now)) {
+            mOwner.stillHolds(mEngine.id(), holding().orElseThrow(), now);
+            pump();
+        } else if (!mReign.isHolding()) {
+            mKeeper = Optional.empty();
+            mOwner.lost(mEngine.id());
+            mContext.log().line("reign_lost", "engine", mEngine.id(), "cause", "unseen");
+        }
+    }
+
+    private void observe(long now) {
+        Optional<String> rival = mOwner.rival(mEngine.id(), now);
+        if (rival.isPresent()) {
+            mReign.rivalHeard(now);
+            return;
+        }
+        int rank = mPeers.rank(mEngine.id(), mEngine.domain());
+        if (rank < ASKING_RANKS && now - mReportNanos >= REPORT_NANOS) {
+            mReportNanos = now;
+            mControl.report(mEngine).onSuccess(this::reported).onFailure(this::silent);
+        }
+        if (now - mCreatedNanos >= SETTLE_NANOS
+                && mReport.isPresent()
+                && mReign.mayClaim(rank, now)) {
+            claim(rank, now);
+        }
+    }
+
+    private void reported(EngineState state) {
+        long now = mContext.clock().now();
+        boolean sameLife =
+                mEngine.startedMillis() == 0
+                        || state.startedMillis() == mEngine.startedMillis();
+        if (sameLife && !mReign.isHolding()) {
+            mReign.observe(state.orderCount(), now);
+            mReport = Optional.of(state);
+        }
+    }
+
+    private void silent(Throwable cause) {
+        mContext.metrics().event("report_failed");
+        mReport = Optional.empty();
+    }
+
+    private void claim(int rank, long now) {
+        EngineState state = mReport.orElseThrow();
+        mReign.claim(now);
+        mKeeper = Optional.of(new AdapterKeeper(mPlaces, state));
+        // Milliseconds leave room for a part that differs between nodes and fits a JSON number.
+        long unique = Math.floorMod(mContext.settings().node().hashCode(), 1_024);
+        mFence = Math.max(mFence + 1_024, System.currentTimeMillis() * 1_024 + unique);
+        mFence = mFence - Math.floorMod(mFence, 1_024) + unique;
+        mContext.metrics().event("reign_begun");
+        mContext.log()
+                .line(
+                        "reign_begun",
+                        "engine",
+                        mEngine.id(),
+                        "rank",
+                        rank,
+                        "count",
+                        state.orderCount(),
+                        "fence",
+                        mFence);
+        mOwner.changed(mEngine.id(), holding().orElseThrow());
+    }
+
+    void rivalHolds(String node, long fence, long now) {
+        if (mReign.isHolding() && fence > mFence) {
+            lose("rival " + node);
+        }
+        if (!mReign.isHolding()) {
+            mFence = Math.max(mFence, fence);
+            mReign.rivalHeard(now);
+        }
+    }
+
+    void lose(String cause) {
+        if (mReign.isHolding()) {
+            mReign.lose(mContext.clock().now());
+            mKeeper = Optional.empty();
+            mReport = Optional.empty();
+            mOwner.lost(mEngine.id());
+            mContext.metrics().event("reign_lost");
+            mContext.log().line("reign_lost", "engine", mEngine.id(), "cause", cause);
+        }
+    }
+
+    void want(AdapterKey adapter, long version, long now) {
+        mKeeper.ifPresent(k -> k.want(adapter, version, now));
+        pump();
+    }
+
+    void used(Set<AdapterKey> adapters, long now) {
+        mKeeper.ifPresent(k -> adapters.forEach(a -> k.used(a, now)));
+    }
+
+    boolean isHolding() {
+        return mReign.isHolding();
+    }
+
+    Optional<OrderService.Holding> holding() {
+        return mKeeper.filter(k -> isHolding())
+                .map(k -> new OrderService.Holding(mFence, k.present()));
+    }
+
+    /** Sends the next order if one is due and none is under way. */
+    private void pump() {
+        long now = mContext.clock().now();
+        if (mBusy || mKeeper.isEmpty() || !mReign.mayOrder(mPeers.seenByAll(now), now)) {
+            return;
+        }
+        AdapterKeeper keeper = mKeeper.orElseThrow();
+        used(mDispatcher.ownAdapters(mEngine.id()), now);
+        Optional<AdapterOrder> order = keeper.next(a -> inUse(a, now), now);
+        if (order.isEmpty() && mReign.needsVisibleOrder(now)) {
+            order = keeper.visibleOrder(a -> inUse(a, now), now);
+        }
+        order.ifPresent(o -> send(o, now));
+    }
+
+    private boolean inUse(AdapterKey adapter, long now) {
+        return mDispatcher.isInUse(mEngine.id(), adapter, now);
+    }
+
+    private void send(AdapterOrder order, long now) {
+        mBusy = true;
+        OrderCall call =
+                new OrderCall(
+                        mEngine.id(),
+                        mEngine.host(),
+                        mEngine.port(),
+                        order.action() == AdapterOrder.Action.LOAD,
+                        order.adapter(),
+                        order.version(),
+                        mContext.settings().node(),
+                        mFence,
+                        mReign.count());
+        if (order.action() == AdapterOrder.Action.UNLOAD && !order.asks()) {
+            // Others stop sending before the engine refuses them.
+            mOwner.leaving(mEngine.id(), order.adapter());
+        }
+        Future<OrderReply> reply = mControl.order(call);
+        reply.onSuccess(r -> replied(order, r, now));
+    }
+
+    private void replied(AdapterOrder order, OrderReply reply, long sentNanos) {
+        mBusy = false;
+        mContext.metrics().order(order.action().name(), reply.name());
+        if (!order.asks()) {
+            mContext.log()
+                    .line(
+                            "order",
+                            "engine",
+                            mEngine.id(),
+                            "action",
+                            order.action(),
+                            "adapter",
+                            order.adapter(),
+                            "reply",
+                            reply,
+                            "count",
+                            mReign.count());
+        }
+        if (!mReign.isHolding() || mKeeper.isEmpty()) {
+            return;
+        }
+        long now = mContext.clock().now();
+        switch (reply) {
+            case UNDER_WAY, HOLDS -> accepted(order, reply, sentNanos, now);
+            case IMPOSSIBLE -> mKeeper.get().answered(order, reply, now);
+            default -> lose("reply " + reply);
+        }
+    }
+
+    private void accepted(AdapterOrder order, OrderReply reply, long sentNanos, long now) {
+        AdapterKeeper keeper = mKeeper.orElseThrow();
+        boolean counted = !order.asks() && countsAs(order, reply);
+        if (counted) {
+            mReign.accepted(sentNanos);
+        }
+        if (keeper.answered(order, reply, now)) {
+            mOwner.changed(mEngine.id(), holding().orElseThrow());
+        }
+        mContext.vertx().runOnContext(v -> pump());
+        if (keeper.hasUnfinished()) {
+            mContext.vertx().setTimer(ASK_MILLIS, t -> pump());
+        }
+    }
+
+    /** A load that holds already moves no count; an unload of what is present does. */
+    private static boolean countsAs(AdapterOrder order, OrderReply reply) {
+        return reply == OrderReply.UNDER_WAY || order.action() == AdapterOrder.Action.UNLOAD;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -0,0 +1,244 @@
+package org.fescuehollow.gateway.orders;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.EngineSpec;
+import org.fescuehollow.catalog.ServiceSpec;
+import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.gateway.exchange.ExchangeService;
+import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.gateway.store.CatalogService;
+import org.fescuehollow.kernel.Kernel;
+import org.fescuehollow.kernel.Service;
+import org.fescuehollow.platform.EngineControl;
+import org.fescuehollow.residency.ResidencyTable;
+
+/**
+ * Gives load and unload orders to the engines that this node holds, and passes wants on to the
+ * holders of the others.
+ *
+ * <p>Used on the node's loop.
+ */
+public final class OrderService implements Service {
+    /** The name under which other services find this one. */
+    public static final String NAME = "orders";
+
+    /** Between looks at engines that nothing happens to. */
+    private static final long TICK_MILLIS = 100;
+
+    /** A want is told to its holder again after this time; a datagram may be lost. */
+    private static final long WANT_AGAIN_NANOS = 120_000_000L;
+
+    private final NodeContext mContext;
+    private final Dispatcher mDispatcher;
+    private final ResidencyTable mResidency;
+    private final Map<String, EngineOrders> mEngines = new HashMap<>();
+    private final Map<String, Long> mTold = new HashMap<>();
+    private final EngineControl mControl;
+    private ExchangeService mExchange;
+    private CatalogService mCatalog;
+    private Kernel mKernel;
+    private Runnable mListener = () -> {};
+    private boolean mLeaving;
+    private long mTimer;
+
+    /**
+     * An engine that this node holds.
+     *
+     * @param fence the fencing number of the reign
+     * @param adapters the adapters that are ready, with their versions
+     */
+    public record Holding(long fence, Map<AdapterKey, Long> adapters) {}
+
+    /**
+     * Creates the service.
+     *
+     * @param context the node
+     * @param dispatcher knows which adapters are in use
+     * @param residency is told what this node's engines hold
+     */
+    public OrderService(NodeContext context, Dispatcher dispatcher, ResidencyTable residency) {
+        mContext = context;
+        mDispatcher = dispatcher;
+        mResidency = residency;
+        mControl = new EngineControl(context.client());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        mKernel = kernel;
+        mCatalog = kernel.find(CatalogService.NAME, CatalogService.class);
+        mContext.clock().onPause(this::paused);
+        mTimer = mContext.vertx().setPeriodic(TICK_MILLIS, t -> tick());
+    }
+
+    @Override
+    public void stop() {
+        mContext.vertx().cancelTimer(mTimer);
+    }
+
+    /**
+     * Registers an action for changes of what engines hold.
+     *
+     * @param listener runs on the loop
+     */
+    public void onChange(Runnable listener) {
+        mListener = listener;
+    }
+
+    /** Gives no more orders. */
+    public void leave() {
+        mLeaving = true;
+        mEngines.values().forEach(e -> e.lose("leaving"));
+    }
+
+    private void paused() {
+        mContext.metrics().event("pause");
+        mContext.log().line("paused", "engines", mEngines.size());
+        mEngines.values().forEach(e -> e.lose("pause"));
+    }
+
+    private ExchangeService exchange() {
+        if (mExchange == null) {
+            mExchange = mKernel.find(ExchangeService.NAME, ExchangeService.class);
+        }
+        return mExchange;
+    }
+
+    private void tick() {
+        long now = mContext.clock().now();
+        mEngines.keySet().removeIf(id -> mCatalog.engine(id).isEmpty());
+        mTold.values().removeIf(t -> now - t > WANT_AGAIN_NANOS);
+        if (mLeaving) {
+            return;
+        }
+        for (Engine e : mCatalog.engines()) {
+            spec(e).filter(s -> s.adapterSlots() > 0)
+                    .ifPresent(
+                            s ->
+                                    mEngines.computeIfAbsent(e.id(), id -> engineOrders(e, s))
+                                            .tick(e, now));
+        }
+    }
+
+    private Optional<EngineSpec> spec(Engine e) {
+        return mCatalog
+                .configuration()
+                .flatMap(c -> c.service(e.service()))
+                .flatMap(ServiceSpec::engine);
+    }
+
+    private EngineOrders engineOrders(Engine e, EngineSpec spec) {
+        return new EngineOrders(
+                mContext, mControl, mDispatcher, exchange().peers(), e, spec.adapterSlots(), this);
+    }
+
+    /** Takes that what an engine of this node holds has changed. */
+    void changed(String engine, Holding holding) {
+        long now = mContext.clock().now();
+        mResidency.held(engine, mContext.settings().node(), holding.adapters(), now);
+        exchange().tellHolding(engine, holding);
+        mListener.run();
+    }
+
+    /** Takes that an adapter is about to leave an engine of this node. */
+    void leaving(String engine, AdapterKey adapter) {
+        mResidency.refused(engine, adapter);
+    }
+
+    /** Takes that this node lost an engine. */
+    void lost(String engine) {
+        mResidency.released(engine, mContext.settings().node());
+    }
+
+    /** Keeps this node's own word on an engine fresh. */
+    void stillHolds(String engine, Holding holding, long now) {
+        mResidency.held(engine, mContext.settings().node(), holding.adapters(), now);
+    }
+
+    /** Finds the other node that says it holds an engine. */
+    Optional<String> rival(String engine, long now) {
+        return mResidency
+                .holder(engine, now)
+                .filter(h -> !h.equals(mContext.settings().node()));
+    }
+
+    /** Takes that other nodes' news changed what is known of residency. */
+    public void residencyChanged() {
+        mListener.run();
+    }
+
+    /**
+     * Takes that another node says it holds an engine.
+     *
+     * @param engine the engine's id
+     * @param node the node
+     * @param fence the fencing number of its reign
+     */
+    public void rivalHolds(String engine, String node, long fence) {
+        Optional.ofNullable(mEngines.get(engine))
+                .ifPresent(e -> e.rivalHolds(node, fence, mContext.clock().now()));
+    }
+
+    /**
+     * Takes that requests wait for an adapter.
+     *
+     * @param engine the engine that should load it
+     * @param adapter the adapter
+     * @param version the least version that will do; 0 if any
+     */
+    public void want(String engine, AdapterKey adapter, long version) {
+        long now = mContext.clock().now();
+        EngineOrders own = mEngines.get(engine);
+        if (own != null && own.isHolding()) {
+            own.want(adapter, version, now);
+            return;
+        }
+        String key = engine + ' ' + adapter;
+        if (mTold.containsKey(key)) {
+            return;
+        }
+        rival(engine, now)
+                .ifPresent(
+                        h -> {
+                            mTold.put(key, now);
+                            exchange().want(h, engine, adapter, version);
+                        });
+    }
+
+    /**
+     * Takes that requests of another node use adapters.
+     *
+     * @param engine the engine's id
+     * @param adapters the adapters
+     */
+    public void used(String engine, Set<AdapterKey> adapters) {
+        Optional.ofNullable(mEngines.get(engine))
+                .ifPresent(e -> e.used(adapters, mContext.clock().now()));
+    }
+
+    /**
+     * Returns the engines that this node holds.
+     *
+     * @return what is ready on each, by engine id
+     */
+    public Map<String, Holding> holdings() {
+        Map<String, Holding> all = new HashMap<>();
+        mEngines.forEach((id, e) -> e.holding().ifPresent(h -> all.put(id, h)));
+        return all;
+    }
+
+    @Override
+    public Object dump() {
+        return Map.of("holdings", holdings().toString(), "residency", mResidency.dump());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to the engines that this node holds. */
+package org.fescuehollow.gateway.orders;
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** The entry program on a platform. */
+package org.fescuehollow.gateway;
