--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -23,15 +23,16 @@
  * <p>Load pattern: prompts are long and shared, few adapters fit on an engine, and a few adapters
  * get most of the requests. Among the engines that have the adapter, the one goes first that will
  * have read the prompt soonest, counting what all nodes have sent and what the engine keeps of it.
- * When all of them are busy, one more engine is asked to load the adapter.
+ * When all of them are busy, one more engine that has room is asked to load the adapter.
+ *
+ * <p>Load pattern: more prompts than engines can read. An engine gets no more than it can read
+ * within the latency objective; the rest waits here, where it can still be ordered or refused,
+ * instead of making everything late.
  *
  * <p>Invariants: an engine that drains, is unreachable or lacks the adapter is never chosen. Not
  * safe for concurrent use.
  */
 public final class Dispatcher {
-    /** Prompt tokens that an engine reads in a millisecond until it is measured; a common GPU. */
-    private static final double TOKENS_PER_MILLI = 30;
-
     /** A running request slows the others by about this much of a step, in milliseconds. */
     private static final double RUNNING_MILLIS = 1.0;
 
@@ -47,6 +48,12 @@
     /** Added for an engine that fails all its requests; about the latency objective. */
     private static final double FAILING_MILLIS = 1_500;
 
+    /** Of the latency objective, what stays for the way and the first step of writing. */
+    private static final double OBJECTIVE_SHARE = 0.8;
+
+    /** What may wait unread for a request that has missed its objective, in milliseconds. */
+    private static final double LATE_MILLIS = 150;
+
     /** A load that isn't done after this time is asked of another engine. */
     private static final long LOAD_PATIENCE_NANOS = Duration.ofMillis(900).toNanos();
 
@@ -54,10 +61,11 @@
     private final ResidencyTable mResidency;
     private final Map<String, EngineLoad> mEngines = new HashMap<>();
     private final Map<AdapterKey, LoadTarget> mTargets = new HashMap<>();
+    private final Map<String, ReadingSpeed> mSpeeds = new HashMap<>();
     private Function<String, Optional<EngineSpec>> mSpecs = s -> Optional.empty();
 
     /** The engine that was asked to load an adapter. */
-    private record LoadTarget(String engine, long sinceNanos, int skipped) {}
+    private record LoadTarget(String engine, long sinceNanos) {}
 
     /**
      * Creates a dispatcher that knows no engines.
@@ -143,10 +151,25 @@
     private boolean isFull(EngineLoad e, CallNeeds call, long now) {
         EngineLoad.Work work = e.total(now);
         long memory = mSpecs.apply(call.service()).map(EngineSpec::cacheTokens).orElse(0L);
-        return e.engine().slots() > 0 && work.running() >= e.engine().slots()
-                || call.needsModel()
+        boolean noSlot = e.engine().slots() > 0 && work.running() >= e.engine().slots();
+        boolean noRoom =
+                call.needsModel()
                         && work.running() > 0
                         && work.cacheTokens() + call.cacheTokens() > memory * CACHE_SHARE;
+        return noSlot || noRoom || call.needsModel() && isBehind(e, work, call, now);
+    }
+
+    /** Tells whether an engine has more to read than lets this request's answer begin in time. */
+    private boolean isBehind(EngineLoad e, EngineLoad.Work work, CallNeeds call, long now) {
+        ReadingSpeed speed = speed(call.service());
+        double objective = (call.targetNanos() - call.arrivedNanos()) / 1e6 * OBJECTIVE_SHARE;
+        double left = objective - (now - call.arrivedNanos()) / 1e6;
+        double most = Math.max(LATE_MILLIS, left - speed.millis(e.unreadTokens(call)));
+        return work.unreadTokens() > 0 && speed.millis(work.unreadTokens()) > most;
+    }
+
+    private ReadingSpeed speed(String service) {
+        return mSpeeds.computeIfAbsent(service, s -> new ReadingSpeed());
     }
 
     private double score(EngineLoad e, CallNeeds call, long now) {
@@ -154,7 +177,8 @@
         double far = e.engine().domain().equals(mDomain) ? 0 : FAR_MILLIS;
         double reading =
                 call.needsModel()
-                        ? (work.unreadTokens() + e.unreadTokens(call)) / TOKENS_PER_MILLI
+                        ? speed(call.service())
+                                .millis(work.unreadTokens() + e.unreadTokens(call))
                         : work.running() * 40.0 / Math.max(1, e.engine().slots());
         return reading
                 + work.running() * RUNNING_MILLIS
@@ -168,9 +192,12 @@
             return Optional.empty();
         }
         LoadTarget t = mTargets.get(call.adapter());
-        boolean keep =
+        boolean patient =
                 t != null
-                        && now - t.sinceNanos() < LOAD_PATIENCE_NANOS
+                        && (now - t.sinceNanos() < LOAD_PATIENCE_NANOS
+                                || usable.stream().noneMatch(this::hasRoom));
+        boolean keep =
+                patient
                         && usable.stream().anyMatch(e -> e.engine().id().equals(t.engine()));
         if (keep) {
             return Optional.of(t.engine());
@@ -179,20 +206,39 @@
         if (ranked.isEmpty()) {
             return Optional.empty();
         }
-        int skip = t == null ? 0 : t.skipped() + 1;
-        String engine = ranked.get(skip % ranked.size()).engine().id();
-        mTargets.put(call.adapter(), new LoadTarget(engine, now, skip));
+        String engine =
+                ranked.stream()
+                        .map(e -> e.engine().id())
+                        .filter(id -> t == null || !id.equals(t.engine()))
+                        .findFirst()
+                        .orElse(ranked.get(0).engine().id());
+        mTargets.put(call.adapter(), new LoadTarget(engine, now));
+        mResidency.asked(engine);
         return Optional.of(engine);
     }
 
-    /** Engines with a holder that lack the adapter, in the order of the adapter's hash. */
+    private boolean hasRoom(EngineLoad e) {
+        return mResidency.spare(e.engine().id()) > 0;
+    }
+
+    /**
+     * Engines with a holder that lack the adapter: those with room first, before all those that
+     * held it lately, as they load it much faster and without the weight store; then those with
+     * the fewest adapters waiting. The adapter's hash decides between equals.
+     */
     private List<EngineLoad> ranked(CallNeeds call, List<EngineLoad> usable, long now) {
         long key = Rendezvous.hash(call.adapter().toString());
         return usable.stream()
                 .filter(e -> !holds(e, call, now))
                 .filter(e -> mResidency.holder(e.engine().id(), now).isPresent())
                 .sorted(
-                        Comparator.comparing(
+                        Comparator.<EngineLoad>comparingInt(
+                                        e -> Math.max(0, 1 - mResidency.spare(e.engine().id())))
+                                .thenComparing(
+                                        e ->
+                                                !mResidency.heldLately(
+                                                        e.engine().id(), call.adapter()))
+                                .thenComparing(
                                 e -> Rendezvous.weight(key, Rendezvous.hash(e.engine().id())),
                                 (a, b) -> Long.compareUnsigned(b, a)))
                 .toList();
@@ -202,6 +248,7 @@
             CallNeeds call, List<EngineLoad> usable, EngineLoad best, long now) {
         double limit = score(best, call, now) - SPREAD_MILLIS / 2;
         return ranked(call, usable, now).stream()
+                .filter(this::hasRoom)
                 .limit(3)
                 .filter(e -> score(e, call, now) < limit)
                 .map(e -> e.engine().id())
@@ -213,10 +260,11 @@
      *
      * @param engine the engine's id
      * @param call the request
+     * @param now the monotonic time in nanoseconds
      */
-    public void sent(String engine, CallNeeds call) {
+    public void sent(String engine, CallNeeds call, long now) {
         long memory = mSpecs.apply(call.service()).map(EngineSpec::cacheTokens).orElse(0L);
-        find(engine).ifPresent(e -> e.sent(call, memory));
+        find(engine).ifPresent(e -> e.sent(call, memory, now));
     }
 
     /**
@@ -224,9 +272,12 @@
      *
      * @param engine the engine's id
      * @param call the request
+     * @param now the monotonic time in nanoseconds
      */
-    public void answering(String engine, CallNeeds call) {
-        find(engine).ifPresent(e -> e.answering(call));
+    public void answering(String engine, CallNeeds call, long now) {
+        find(engine)
+                .flatMap(e -> e.answering(call, now))
+                .ifPresent(r -> speed(call.service()).sample(r.tokens(), r.millis()));
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
@@ -42,8 +43,11 @@
         }
     }
 
-    /** A request of this node that runs. */
-    private record Running(CallNeeds call, int unread) {}
+    /** A request of this node that runs, and what was to be read up to its first answer. */
+    private record Running(CallNeeds call, int unread, long ahead, long sentNanos) {}
+
+    /** What a first answer tells of the engine's reading. */
+    record Reading(long tokens, double millis) {}
 
     /** Another node's work and when it was heard. */
     private record Share(Work work, Set<AdapterKey> adapters, long heardNanos) {}
@@ -71,13 +75,21 @@
         return Math.max(0, call.promptTokens() - mPrefixes.kept(call.adapter(), call.parts()));
     }
 
-    void sent(CallNeeds call, long capacity) {
-        mOwn.put(call.id(), new Running(call, unreadTokens(call)));
+    void sent(CallNeeds call, long capacity, long now) {
+        int unread = unreadTokens(call);
+        long ahead = total(now).unreadTokens() + unread;
+        mOwn.put(call.id(), new Running(call, unread, ahead, now));
         mPrefixes.read(call.adapter(), call.parts(), capacity);
     }
 
-    void answering(CallNeeds call) {
-        mOwn.computeIfPresent(call.id(), (id, r) -> new Running(call, 0));
+    /** Takes a request's first answer; tells what was read until then. */
+    Optional<Reading> answering(CallNeeds call, long now) {
+        Running r = mOwn.get(call.id());
+        if (r == null || r.ahead() == 0) {
+            return Optional.empty();
+        }
+        mOwn.put(call.id(), new Running(call, 0, 0, r.sentNanos()));
+        return Optional.of(new Reading(r.ahead(), (now - r.sentNanos()) / 1e6));
     }
 
     void ended(CallNeeds call) {
--- a/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
+++ b/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.EngineState;
 
@@ -16,19 +17,22 @@
  * <p>Load pattern: many adapters are asked for rarely, few often. A wanted adapter takes the place
  * of the one unused for longest; one in use, or used a moment ago, keeps its place.
  *
+ * <p>Load pattern: engines crash or are replaced and come back empty. Their base model is loaded
+ * before anything else, as no adapter can be without it.
+ *
  * <p>Invariants: adapters present, coming and leaving never exceed the engine's places; at most one
  * order is outstanding; an adapter counts as present only once the engine said so. Not safe for
  * concurrent use.
  */
 public final class AdapterKeeper {
-    /** An adapter unused for less may be on its way to use by another node. */
-    private static final long LEAST_IDLE_NANOS = Duration.ofMillis(400).toNanos();
+    /** Nodes tell at once which adapters they use; an adapter unused for longer is idle. */
+    private static final long LEAST_IDLE_NANOS = Duration.ofMillis(80).toNanos();
 
     /** A load is asked about this often; about the time that an order takes. */
     private static final long ASK_NANOS = Duration.ofMillis(15).toNanos();
 
     /** A want that nobody repeats for this long is dropped; nodes repeat theirs more often. */
-    private static final long WANT_NANOS = Duration.ofMillis(1_200).toNanos();
+    private static final long WANT_NANOS = Duration.ofMillis(500).toNanos();
 
     /** Loads on their way to one engine; engines accept no more at a time. */
     private static final int MOST_COMING = 4;
@@ -36,7 +40,12 @@
     /** What the newest version is at least, where none was announced. */
     private static final long FIRST_VERSION = 1;
 
+    /** The load of a base model, which takes much longer, is asked about this often. */
+    private static final long ASK_MODEL_NANOS = Duration.ofMillis(80).toNanos();
+
     private final int mPlaces;
+    private final Optional<String> mModelToLoad;
+    private final Map<String, Place> mModels = new HashMap<>();
     private final Map<AdapterKey, Place> mTaken = new HashMap<>();
     private final Map<AdapterKey, Want> mWants = new LinkedHashMap<>();
     private final Map<AdapterKey, Long> mLastUse = new HashMap<>();
@@ -58,10 +67,13 @@
      * Creates the state of an engine.
      *
      * @param places adapters that fit on it
+     * @param modelToLoad the base model that an engine without any is to load
      * @param state what it said it holds, after a time without orders
      */
-    public AdapterKeeper(int places, EngineState state) {
+    public AdapterKeeper(int places, Optional<String> modelToLoad, EngineState state) {
         mPlaces = places;
+        mModelToLoad = modelToLoad;
+        state.models().forEach(m -> mModels.put(m, new Place(Phase.PRESENT, 0, 0)));
         state.adapters().forEach((a, v) -> mTaken.put(a, new Place(Phase.PRESENT, v, 0)));
         state.coming().forEach((a, v) -> mTaken.put(a, new Place(Phase.COMING, v, 0)));
     }
@@ -98,7 +110,28 @@
      */
     public Optional<AdapterOrder> next(Predicate<AdapterKey> inUse, long now) {
         mWants.values().removeIf(w -> w.untilNanos() < now);
-        return question(now).or(() -> load(now)).or(() -> unload(inUse, now));
+        boolean modelComes =
+                mModels.isEmpty()
+                        || mModels.values().stream().anyMatch(p -> p.phase() != Phase.PRESENT);
+        return modelComes
+                ? model(now)
+                : question(now).or(() -> load(now)).or(() -> unload(inUse, now));
+    }
+
+    /** An engine carries out nothing else while it loads a base model. */
+    private Optional<AdapterOrder> model(long now) {
+        return mModelToLoad
+                .filter(
+                        m ->
+                                !mModels.containsKey(m)
+                                        || now - mModels.get(m).askedNanos() >= ASK_MODEL_NANOS)
+                .map(
+                        m ->
+                                new AdapterOrder(
+                                        AdapterOrder.Action.LOAD,
+                                        new AdapterKey(m, ""),
+                                        0,
+                                        mModels.containsKey(m)));
     }
 
     private Optional<AdapterOrder> question(long now) {
@@ -122,6 +155,7 @@
     private Optional<AdapterOrder> load(long now) {
         boolean full = mTaken.size() >= mPlaces || count(Phase.COMING) >= MOST_COMING;
         return mWants.entrySet().stream()
+                .filter(e -> mModels.containsKey(e.getKey().model()))
                 .filter(e -> mTaken.containsKey(e.getKey()) ? isStale(e) : !full)
                 .findFirst()
                 .map(
@@ -148,13 +182,33 @@
         if (wanted <= room || count(Phase.COMING) >= MOST_COMING) {
             return Optional.empty();
         }
+        return idle(inUse, now)
+                .filter(a -> !mWants.containsKey(a))
+                .min(Comparator.comparingLong(a -> lastUse(a, now)))
+                .map(a -> new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false));
+    }
+
+    private Stream<AdapterKey> idle(Predicate<AdapterKey> inUse, long now) {
         return mTaken.entrySet().stream()
                 .filter(e -> e.getValue().phase() == Phase.PRESENT)
                 .map(Map.Entry::getKey)
-                .filter(a -> !mWants.containsKey(a) && !inUse.test(a))
-                .filter(a -> now - lastUse(a, now) >= LEAST_IDLE_NANOS)
-                .min(Comparator.comparingLong(a -> lastUse(a, now)))
-                .map(a -> new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false));
+                .filter(a -> !inUse.test(a))
+                .filter(a -> now - lastUse(a, now) >= LEAST_IDLE_NANOS);
+    }
+
+    /**
+     * Returns how many more adapters could be loaded now.
+     *
+     * @param inUse tells whether requests run on an adapter, on any node
+     * @param now the monotonic time in nanoseconds
+     * @return negative if more are wanted than fit
+     */
+    public int spare(Predicate<AdapterKey> inUse, long now) {
+        boolean hasModel = mModels.values().stream().anyMatch(p -> p.phase() == Phase.PRESENT);
+        if (!hasModel) {
+            return -mPlaces;
+        }
+        return mPlaces - mTaken.size() + (int) idle(inUse, now).count() - mWants.size();
     }
 
     private long lastUse(AdapterKey adapter, long now) {
@@ -170,10 +224,7 @@
      * @return the order, or empty if no adapter is idle
      */
     public Optional<AdapterOrder> visibleOrder(Predicate<AdapterKey> inUse, long now) {
-        return mTaken.entrySet().stream()
-                .filter(e -> e.getValue().phase() == Phase.PRESENT && !inUse.test(e.getKey()))
-                .map(Map.Entry::getKey)
-                .filter(a -> now - lastUse(a, now) >= LEAST_IDLE_NANOS)
+        return idle(inUse, now)
                 .min(Comparator.comparingLong(a -> lastUse(a, now)))
                 .map(
                         a -> {
@@ -192,6 +243,9 @@
      */
     public boolean answered(AdapterOrder order, OrderReply reply, long now) {
         AdapterKey a = order.adapter();
+        if (!a.isAdapter()) {
+            return modelAnswered(a.model(), reply, now);
+        }
         boolean load = order.action() == AdapterOrder.Action.LOAD;
         switch (reply) {
             case HOLDS -> {
@@ -204,7 +258,8 @@
                 }
                 return true;
             }
-            case UNDER_WAY -> {
+            // An order without an answer may have been accepted; asking again tells.
+            case UNDER_WAY, UNKNOWN -> {
                 Phase phase = load ? Phase.COMING : Phase.LEAVING;
                 Place before = mTaken.put(a, new Place(phase, order.version(), now));
                 return before == null || before.phase() != phase;
@@ -219,6 +274,15 @@
         }
     }
 
+    private boolean modelAnswered(String model, OrderReply reply, long now) {
+        switch (reply) {
+            case HOLDS -> mModels.put(model, new Place(Phase.PRESENT, 0, now));
+            case UNDER_WAY, UNKNOWN -> mModels.put(model, new Place(Phase.COMING, 0, now));
+            default -> mModels.remove(model);
+        }
+        return reply == OrderReply.HOLDS;
+    }
+
     private boolean isPresent(AdapterKey adapter, long version) {
         Place p = mTaken.get(adapter);
         return p != null && p.phase() == Phase.PRESENT && p.version() >= version;
@@ -246,7 +310,8 @@
      * @return true while an adapter comes or leaves
      */
     public boolean hasUnfinished() {
-        return mTaken.values().stream().anyMatch(p -> p.phase() != Phase.PRESENT);
+        return Stream.concat(mTaken.values().stream(), mModels.values().stream())
+                .anyMatch(p -> p.phase() != Phase.PRESENT);
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/residency/OrderReign.java
+++ b/core/src/main/java/org/fescuehollow/residency/OrderReign.java
@@ -17,11 +17,14 @@
     /** Parts of the lease for which a reign that nobody sees any more goes on. */
     private static final int IDLE_PARTS = 3;
 
-    /** Added to a rival's wait for late reports and messages. */
-    private static final long LAG_NANOS = Duration.ofMillis(200).toNanos();
+    /** Added to a rival's wait: reports are some hundred milliseconds old, and asked for as often. */
+    private static final long LAG_NANOS = Duration.ofMillis(900).toNanos();
 
-    /** Between the claims of two ranks: an order is visible in reports after about half of it. */
-    private static final long STEP_NANOS = Duration.ofMillis(800).toNanos();
+    /** Between the claims of two ranks: the first's order is visible in reports by then. */
+    private static final long STEP_NANOS = Duration.ofMillis(1_000).toNanos();
+
+    /** Counts that were read with a longer gap between them don't show that the engine was quiet. */
+    private static final long GAP_NANOS = Duration.ofMillis(1_500).toNanos();
 
     private final long mLeaseNanos;
     private final long mIdleNanos;
@@ -29,6 +32,9 @@
     private long mQuietSince;
     private long mLastSeen;
     private long mCount;
+    private long mObserved;
+    private boolean mFresh = true;
+    private boolean mNeverOrdered;
 
     /**
      * Creates the reign of a node that knows nothing of the engine's orders yet.
@@ -50,11 +56,18 @@
      * @param now the monotonic time in nanoseconds
      */
     public void observe(long count, long now) {
-        if (mHolding || count == mCount) {
+        if (mHolding) {
+            return;
+        }
+        mCount = now - mObserved > GAP_NANOS ? -1 : mCount;
+        mNeverOrdered &= mCount >= 0;
+        mObserved = now;
+        if (count == mCount) {
             return;
         }
-        boolean neverOrdered = mCount < 0 && count == 0;
-        mQuietSince = neverOrdered ? now - mLeaseNanos - mIdleNanos : now;
+        mNeverOrdered = mFresh && count == 0;
+        mFresh = false;
+        mQuietSince = now;
         mCount = count;
     }
 
@@ -70,13 +83,16 @@
     /**
      * Tells whether this node may begin to order.
      *
-     * @param rank how many nodes rank better for the engine, dead or not
+     * @param rank how many nodes rank better for the engine, dead or not; the best takes an engine
+     *     that was never ordered at once
      * @param now the monotonic time in nanoseconds
      * @return true once the engine was quiet long enough
      */
     public boolean mayClaim(int rank, long now) {
-        long wait = mLeaseNanos + mIdleNanos + LAG_NANOS + rank * STEP_NANOS;
-        return !mHolding && mCount >= 0 && now - mQuietSince >= wait;
+        boolean first = mNeverOrdered && rank == 0;
+        long wait = LAG_NANOS + (first ? 0 : mLeaseNanos + mIdleNanos + rank * STEP_NANOS);
+        boolean current = mCount >= 0 && now - mObserved <= GAP_NANOS;
+        return !mHolding && current && now - mQuietSince >= wait;
     }
 
     /**
@@ -114,13 +130,27 @@
         return mHolding && now - mLastSeen > mIdleNanos * 6 / 10;
     }
 
+    /** Takes that an order got no answer, so that the engine's count is in doubt. */
+    public void countInDoubt() {
+        mCount = -1;
+    }
+
+    /**
+     * Takes the engine's count after a doubt.
+     *
+     * @param count the count from a report that is younger than the last order
+     */
+    public void countKnown(long count) {
+        mCount = mCount < 0 ? count : mCount;
+    }
+
     /**
      * Takes that the engine accepted an order that moved its count.
      *
      * @param sentNanos when the order was sent, by the monotonic clock
      */
     public void accepted(long sentNanos) {
-        mCount++;
+        mCount += mCount < 0 ? 0 : 1;
         mLastSeen = Math.max(mLastSeen, sentNanos);
     }
 
@@ -131,6 +161,7 @@
      */
     public void lose(long now) {
         mHolding = false;
+        mNeverOrdered = false;
         mQuietSince = now;
         mCount = -1;
     }
--- a/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
+++ b/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,9 +24,26 @@
 
     private final Map<String, Holding> mHoldings = new HashMap<>();
     private final Map<String, Map<AdapterKey, Long>> mPublished = new HashMap<>();
+    private final Map<String, LatelyHeld> mLately = new HashMap<>();
 
     /** A holder's word on one engine. */
-    private record Holding(String holder, Map<AdapterKey, Long> adapters, long heardNanos) {}
+    private record Holding(
+            String holder, Map<AdapterKey, Long> adapters, int spare, long heardNanos) {}
+
+    /** Adapters that an engine held, the most recent last; engines keep copies of as many. */
+    private static final class LatelyHeld extends LinkedHashMap<AdapterKey, Boolean> {
+        private static final long serialVersionUID = 1L;
+        private static final int COPIES = 48;
+
+        LatelyHeld() {
+            super(COPIES, 0.75f, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AdapterKey, Boolean> eldest) {
+            return size() > COPIES;
+        }
+    }
 
     /**
      * Takes what the store says of an engine.
@@ -42,10 +60,47 @@
      * @param engine the engine's id
      * @param holder the node that gives it orders
      * @param adapters the adapters that are ready, with their versions
+     * @param spare how many more it could load now; negative if more are wanted than fit
      * @param now the monotonic time in nanoseconds
      */
-    public void held(String engine, String holder, Map<AdapterKey, Long> adapters, long now) {
-        mHoldings.put(engine, new Holding(holder, new HashMap<>(adapters), now));
+    public void held(
+            String engine, String holder, Map<AdapterKey, Long> adapters, int spare, long now) {
+        mHoldings.put(engine, new Holding(holder, new HashMap<>(adapters), spare, now));
+        LatelyHeld lately = mLately.computeIfAbsent(engine, e -> new LatelyHeld());
+        adapters.keySet().forEach(a -> lately.put(a, true));
+    }
+
+    /**
+     * Tells whether an engine had an adapter not long ago, and so probably keeps a copy of it.
+     *
+     * @param engine the engine's id
+     * @param adapter the adapter
+     * @return true as far as this node knows
+     */
+    public boolean heldLately(String engine, AdapterKey adapter) {
+        LatelyHeld lately = mLately.get(engine);
+        return lately != null && lately.containsKey(adapter);
+    }
+
+    /**
+     * Returns how many more adapters an engine could load now.
+     *
+     * @param engine the engine's id
+     * @return negative if more are wanted than fit; 0 if unknown
+     */
+    public int spare(String engine) {
+        return Optional.ofNullable(mHoldings.get(engine)).map(Holding::spare).orElse(0);
+    }
+
+    /**
+     * Takes that this node asks an engine for one more adapter.
+     *
+     * @param engine the engine's id
+     */
+    public void asked(String engine) {
+        mHoldings.computeIfPresent(
+                engine,
+                (e, h) -> new Holding(h.holder(), h.adapters(), h.spare() - 1, h.heardNanos()));
     }
 
     /**
@@ -77,6 +132,7 @@
     public void retain(Set<String> live) {
         mHoldings.keySet().retainAll(live);
         mPublished.keySet().retainAll(live);
+        mLately.keySet().retainAll(live);
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -0,0 +1,159 @@
+package org.fescuehollow.dispatch;
+
+import static org.assertj.core.api.BDDAssertions.then;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.EngineSpec;
+import org.fescuehollow.residency.ResidencyTable;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+    private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final ResidencyTable mResidency = new ResidencyTable();
+    private final Dispatcher mDispatcher = new Dispatcher("north", mResidency);
+    private int mCalls;
+
+    private static Engine engine(String id, String domain, boolean draining) {
+        return new Engine(
+                id, 1, "llm", "10.0.0.1", 80, domain, 4, draining, 0, Set.of("m"), Map.of());
+    }
+
+    private void engines(Engine... engines) {
+        EngineSpec spec = new EngineSpec(4, 50_000, 2, Map.of());
+        mDispatcher.engines(List.of(engines), s -> Optional.of(spec));
+    }
+
+    private CallNeeds call(AdapterKey adapter, int tokens) {
+        return new CallNeeds(
+                "call-" + mCalls++,
+                "llm",
+                adapter,
+                0,
+                tokens,
+                50,
+                List.of(new PromptPart("p", tokens / 2)),
+                0,
+                0,
+                SECOND,
+                5 * SECOND);
+    }
+
+    private String sent(CallNeeds call, long now) {
+        Placement p = mDispatcher.place(call, Set.of(), now);
+        then(p).isInstanceOf(Placement.Send.class);
+        String engine = ((Placement.Send) p).engine();
+        mDispatcher.sent(engine, call, now);
+        return engine;
+    }
+
+    @Test
+    void place_waitsWithoutAnyServer() {
+        then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
+                .isEqualTo(new Placement.Wait(Placement.Reason.NO_SERVER, Optional.empty()));
+    }
+
+    @Test
+    void place_asksAHeldEngineToLoadAnAbsentAdapter() {
+        engines(engine("e1", "north", false), engine("e2", "south", false));
+        mResidency.held("e2", "node", Map.of(), 1, 0);
+        then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
+                .isEqualTo(
+                        new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
+    }
+
+    @Test
+    void place_neverChoosesADrainingEngine() {
+        engines(engine("e1", "north", true), engine("e2", "south", false));
+        then(sent(call(new AdapterKey("m", ""), 100), 0)).isEqualTo("e2");
+    }
+
+    @Test
+    void place_prefersTheEngineThatKeepsThePrompt() {
+        engines(engine("e1", "south", false), engine("e2", "south", false));
+        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
+        mResidency.held("e2", "node", Map.of(ADAPTER, 1L), 1, 0);
+        CallNeeds first = call(ADAPTER, 9_000);
+        String engine = sent(first, 0);
+        mDispatcher.ended(engine, first);
+        then(sent(call(ADAPTER, 9_000), 0)).isEqualTo(engine);
+    }
+
+    @Test
+    void place_spreadsABurstOverTheEnginesThatHaveTheAdapter() {
+        engines(engine("e1", "south", false), engine("e2", "south", false));
+        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
+        mResidency.held("e2", "node", Map.of(ADAPTER, 1L), 1, 0);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            used.add(sent(call(ADAPTER, 9_000), 0));
+        }
+        then(used).containsExactlyInAnyOrder("e1", "e2");
+    }
+
+    @Test
+    void place_asksForOneMoreCopyWhenAllThatHaveItAreBehind() {
+        // GIVEN a burst for one adapter that a single engine has
+        engines(engine("e1", "south", false), engine("e2", "south", false));
+        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
+        mResidency.held("e2", "node", Map.of(), 1, 0);
+        // WHEN the engine has many tokens to read
+        List<Optional<String>> more = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            CallNeeds c = call(ADAPTER, 9_000);
+            Placement.Send s = (Placement.Send) mDispatcher.place(c, Set.of(), 0);
+            mDispatcher.sent(s.engine(), c, 0);
+            more.add(s.loadOn());
+        }
+        // THEN the idle engine is to load it too
+        then(more).contains(Optional.of("e2"));
+    }
+
+    @Test
+    void place_waitsWhenMemoryIsFull() {
+        engines(engine("e1", "south", false));
+        AdapterKey base = new AdapterKey("m", "");
+        sent(call(base, 30_000), 0);
+        then(mDispatcher.place(call(base, 30_000), Set.of(), 0))
+                .isEqualTo(
+                        new Placement.Wait(Placement.Reason.ENGINES_FULL, Optional.empty()));
+    }
+
+    @Test
+    void place_countsWhatOtherNodesSentUntilItIsOld() {
+        engines(engine("e1", "south", false));
+        AdapterKey base = new AdapterKey("m", "");
+        mDispatcher.others("e1", "node-2", new EngineLoad.Work(4, 0, 0), Set.of(), 0);
+        then(mDispatcher.place(call(base, 100), Set.of(), 0)).isInstanceOf(Placement.Wait.class);
+        then(mDispatcher.place(call(base, 100), Set.of(), 2 * SECOND))
+                .isInstanceOf(Placement.Send.class);
+    }
+
+    @Test
+    void place_leavesAnUnreachableEngineAloneForAWhile() {
+        engines(engine("e1", "south", false));
+        mDispatcher.health("e1").orElseThrow().unreachable(0);
+        AdapterKey base = new AdapterKey("m", "");
+        then(mDispatcher.place(call(base, 100), Set.of(), SECOND / 10))
+                .isInstanceOf(Placement.Wait.class);
+        then(mDispatcher.place(call(base, 100), Set.of(), SECOND))
+                .isInstanceOf(Placement.Send.class);
+    }
+
+    @Test
+    void place_prefersServersThatDoNotFail() {
+        engines(engine("e1", "north", false), engine("e2", "south", false));
+        mDispatcher.health("e1").orElseThrow().failed(0);
+        mDispatcher.health("e1").orElseThrow().failed(0);
+        then(sent(call(new AdapterKey("m", ""), 100), 1)).isEqualTo("e2");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fescuehollow/residency/AdapterKeeperTest.java
@@ -0,0 +1,133 @@
+package org.fescuehollow.residency;
+
+import static org.assertj.core.api.BDDAssertions.then;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.EngineState;
+import org.junit.jupiter.api.Test;
+
+class AdapterKeeperTest {
+    private static final AdapterKey A = new AdapterKey("m", "a1");
+    private static final AdapterKey B = new AdapterKey("m", "a2");
+    private static final AdapterKey C = new AdapterKey("m", "a3");
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private static AdapterKeeper keeper(int places, Map<AdapterKey, Long> present) {
+        return new AdapterKeeper(
+                places,
+                Optional.of("m"),
+                new EngineState(0, 0, 0, 0, 0, Set.of("m"), present, Map.of()));
+    }
+
+    @Test
+    void next_loadsTheBaseModelOfAnEmptyEngineFirst() {
+        // GIVEN an engine that came back without its model, and a request for an adapter
+        AdapterKeeper keeper =
+                new AdapterKeeper(
+                        2,
+                        Optional.of("m"),
+                        new EngineState(0, 0, 0, 0, 0, Set.of(), Map.of(), Map.of()));
+        keeper.want(A, 0, 0);
+        // WHEN it is given orders
+        AdapterOrder order = next(keeper, 0).orElseThrow();
+        // THEN the model comes first, and nothing else until it is there
+        then(order.adapter()).isEqualTo(new AdapterKey("m", ""));
+        keeper.answered(order, OrderReply.UNDER_WAY, 0);
+        then(next(keeper, SECOND / 100)).isEmpty();
+        then(keeper.spare(a -> false, SECOND / 100)).isNegative();
+        AdapterOrder question = next(keeper, SECOND / 5).orElseThrow();
+        then(question.asks()).isTrue();
+        keeper.answered(question, OrderReply.HOLDS, SECOND / 5);
+        then(next(keeper, SECOND / 5).orElseThrow().adapter()).isEqualTo(A);
+    }
+
+    private static Optional<AdapterOrder> next(AdapterKeeper keeper, long now) {
+        return keeper.next(a -> false, now);
+    }
+
+    @Test
+    void next_loadsAWantedAdapterIntoAFreePlace() {
+        AdapterKeeper keeper = keeper(2, Map.of());
+        keeper.want(A, 0, 0);
+        AdapterOrder order = next(keeper, 0).orElseThrow();
+        then(order.action()).isEqualTo(AdapterOrder.Action.LOAD);
+        keeper.answered(order, OrderReply.UNDER_WAY, 0);
+        then(keeper.present()).isEmpty();
+        then(next(keeper, 1)).isEmpty();
+        AdapterOrder question = next(keeper, SECOND / 10).orElseThrow();
+        then(question.asks()).isTrue();
+        keeper.answered(question, OrderReply.HOLDS, SECOND / 10);
+        then(keeper.present()).containsOnlyKeys(A);
+    }
+
+    @Test
+    void next_makesRoomWithTheLeastRecentlyUsed() {
+        AdapterKeeper keeper = keeper(2, Map.of(A, 1L, B, 1L));
+        keeper.used(A, 5 * SECOND);
+        keeper.used(B, 4 * SECOND);
+        keeper.want(C, 0, 6 * SECOND);
+        AdapterOrder order = next(keeper, 6 * SECOND).orElseThrow();
+        then(order).isEqualTo(new AdapterOrder(AdapterOrder.Action.UNLOAD, B, 0, false));
+        keeper.answered(order, OrderReply.HOLDS, 6 * SECOND);
+        then(next(keeper, 6 * SECOND).orElseThrow().adapter()).isEqualTo(C);
+    }
+
+    @Test
+    void next_keepsAdaptersThatAreInUse() {
+        AdapterKeeper keeper = keeper(1, Map.of(A, 1L));
+        keeper.want(B, 0, 9 * SECOND);
+        then(keeper.next(a -> a.equals(A), 9 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void next_keepsAnAdapterUsedAMomentAgo() {
+        AdapterKeeper keeper = keeper(1, Map.of(A, 1L));
+        keeper.used(A, 9 * SECOND);
+        keeper.want(B, 0, 9 * SECOND);
+        then(next(keeper, 9 * SECOND)).isEmpty();
+        keeper.want(B, 0, 9 * SECOND + SECOND / 5);
+        then(next(keeper, 9 * SECOND + SECOND / 5)).isPresent();
+    }
+
+    @Test
+    void answered_countsAnOrderWithoutAnswerAsAccepted() {
+        // GIVEN one place and an order to load that got no answer
+        AdapterKeeper keeper = keeper(1, Map.of());
+        keeper.want(A, 0, 0);
+        keeper.answered(next(keeper, 0).orElseThrow(), OrderReply.UNKNOWN, 0);
+        // WHEN another adapter is wanted
+        keeper.want(B, 0, SECOND / 10);
+        // THEN the place counts as taken: too many adapters would crash the engine
+        then(next(keeper, SECOND / 10).orElseThrow().adapter()).isEqualTo(A);
+    }
+
+    @Test
+    void next_replacesAnOlderVersion() {
+        AdapterKeeper keeper = keeper(1, Map.of(A, 1L));
+        keeper.want(A, 2, 0);
+        AdapterOrder order = next(keeper, 0).orElseThrow();
+        then(order).isEqualTo(new AdapterOrder(AdapterOrder.Action.LOAD, A, 2, false));
+        keeper.answered(order, OrderReply.UNDER_WAY, 0);
+        then(keeper.present()).isEmpty();
+    }
+
+    @Test
+    void want_lapsesUnlessItIsRepeated() {
+        AdapterKeeper keeper = keeper(1, Map.of());
+        keeper.want(A, 0, 0);
+        then(next(keeper, 2 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void visibleOrder_bringsTheAdapterBack() {
+        AdapterKeeper keeper = keeper(2, Map.of(A, 1L));
+        AdapterOrder order = keeper.visibleOrder(a -> false, SECOND).orElseThrow();
+        keeper.answered(order, OrderReply.HOLDS, SECOND);
+        then(next(keeper, SECOND).orElseThrow())
+                .isEqualTo(new AdapterOrder(AdapterOrder.Action.LOAD, A, 0, false));
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -34,6 +34,12 @@
     /** Connections to one server at a time; servers refuse what is beyond their own limit. */
     private static final int CONNECTIONS = 2_000;
 
+    /** Calls of the system's own to one server at a time. */
+    private static final int CONTROL_CONNECTIONS = 4;
+
+    /** Below the time after which servers close idle connections. */
+    private static final int CONTROL_IDLE_SECONDS = 4;
+
     /** After a request to stop: the balancer notices two misses, a second apart. */
     private static final Duration NOTICE = Duration.ofMillis(2_600);
 
@@ -56,10 +62,19 @@
                 vertx.createHttpClient(
                         new HttpClientOptions().setKeepAlive(false),
                         new PoolOptions().setHttp1MaxSize(CONNECTIONS).setEventLoopSize(1));
+        HttpClient control =
+                vertx.createHttpClient(
+                        new HttpClientOptions()
+                                .setKeepAlive(true)
+                                .setKeepAliveTimeout(CONTROL_IDLE_SECONDS),
+                        new PoolOptions()
+                                .setHttp1MaxSize(CONTROL_CONNECTIONS)
+                                .setEventLoopSize(1));
         mContext =
                 new NodeContext(
                         vertx,
                         client,
+                        control,
                         new NodeClock(),
                         settings,
                         new EventLog(System.out),
@@ -125,6 +140,7 @@
                             exchange.leave();
                         });
         long grace = (long) (mContext.settings().graceSeconds() * 1e9) - END.toNanos();
+        mContext.vertx().setTimer(NOTICE.toMillis(), t -> front.close());
         awaitQuiet(front, System.nanoTime(), grace);
         mContext.log().line("stopped", "open", front.open());
         mContext.log().flush();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -174,7 +174,7 @@
     }
 
     private void deliver(HttpClientResponse response, AnswerHead head) {
-        mContext.dispatcher().answering(mEngine.id(), mCall.needs());
+        mCall.answering(mEngine);
         if (mCall.route().kind() == RouteKind.STREAM && head.status() == SUCCESS) {
             if (mCall.route().resumable()) {
                 response.handler(b -> relay(response, mCall.events().feed(b)));
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallAnswer.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallAnswer.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
 import java.util.Locale;
 import org.fescuehollow.platform.AnswerHead;
 
@@ -19,6 +20,7 @@
     private final HttpServerRequest mRequest;
     private final HttpServerResponse mResponse;
     private boolean mBegun;
+    private long mBegunNanos;
 
     CallAnswer(CallContext context, HttpServerRequest request) {
         mContext = context;
@@ -42,8 +44,14 @@
         mResponse.setChunked(true);
     }
 
+    /** Returns the time from a request's arrival to its answer's first byte; -1 without one. */
+    long firstMillis(long arrivedNanos) {
+        return mBegunNanos == 0 ? -1 : Duration.ofNanos(mBegunNanos - arrivedNanos).toMillis();
+    }
+
     private void begin(int status, MultiMap headers) {
         mBegun = true;
+        mBegunNanos = mContext.now();
         mResponse.setStatusCode(status);
         AnswerHead.forward(headers, mResponse.headers());
         announceClose();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallContext.java
@@ -24,6 +24,7 @@
     private final Map<String, RetryWindow> mRetries = new HashMap<>();
     private int mOpen;
     private boolean mLeaving;
+    private boolean mClosed;
 
     CallContext(
             NodeContext node,
@@ -113,4 +114,13 @@
     boolean isLeaving() {
         return mLeaving;
     }
+
+    /** Takes no more requests. */
+    void close() {
+        mClosed = true;
+    }
+
+    boolean isClosed() {
+        return mClosed;
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -21,9 +21,15 @@
  * may have run. Used on the node's loop.
  */
 final class CallFlow {
-    /** Of the time that a request has, the part after which waiting for an engine ends. */
+    /** Of the time that a request has, the part after which waiting for a server ends. */
     private static final double WAITING_SHARE = 0.6;
 
+    /**
+     * Of the latency objective, the part after which waiting for a model engine ends: what waited
+     * longer is late anyway, and its caller does better to come back.
+     */
+    private static final double MODEL_WAITING_SHARE = 0.9;
+
     /** Of the time left, the part after which the caller may come back; callers honour a third. */
     private static final double RETURN_SHARE = 0.3;
 
@@ -43,6 +49,7 @@
     private boolean mMayHaveRun;
     private boolean mDone;
     private int mRuns;
+    private String mWaitReason = "";
     private long mDeadlineTimer = -1;
     private long mWaitTimer = -1;
 
@@ -131,11 +138,19 @@
         if (!mDone && !tryPlace()) {
             mContext.queue().add(this);
             if (mWaitTimer < 0) {
-                mWaitTimer = timer((long) (leftMillis() * WAITING_SHARE), this::waitedTooLong);
+                mWaitTimer = timer(longestWaitMillis(), this::waitedTooLong);
             }
         }
     }
 
+    private long longestWaitMillis() {
+        double most = leftMillis() * WAITING_SHARE;
+        return (long)
+                (mNeeds.needsModel()
+                        ? Math.min(most, mRoute.targetMillis() * MODEL_WAITING_SHARE)
+                        : most);
+    }
+
     /** Sends the request if an engine can take it now. */
     boolean tryPlace() {
         if (mDone) {
@@ -148,6 +163,7 @@
             return mContext.catalog().engine(s.engine()).map(e -> send(e, now)).orElse(false);
         }
         Placement.Wait w = (Placement.Wait) placement;
+        mWaitReason = w.reason().name();
         w.loadOn().ifPresent(this::want);
         return false;
     }
@@ -157,7 +173,8 @@
     }
 
     private boolean send(Engine engine, long now) {
-        mContext.dispatcher().sent(engine.id(), mNeeds);
+        mContext.dispatcher().sent(engine.id(), mNeeds, now);
+        workChanged(engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
         mContext.node()
@@ -172,6 +189,10 @@
                         engine.id(),
                         "adapter",
                         mNeeds.adapter(),
+                        "prompt",
+                        mNeeds.promptTokens(),
+                        "output",
+                        mNeeds.outputTokens(),
                         "waited_ms",
                         Duration.ofNanos(now - mNeeds.arrivedNanos()).toMillis(),
                         "runs",
@@ -180,6 +201,13 @@
         return true;
     }
 
+    /** Takes that the engine began to answer. */
+    void answering(Engine engine) {
+        mContext.dispatcher().answering(engine.id(), mNeeds, mContext.now());
+        workChanged(engine);
+        mContext.offerWaiting();
+    }
+
     /** Takes that an attempt's bytes are on their way. */
     void running() {
         mRuns++;
@@ -239,9 +267,16 @@
         finish("status_" + status, engine.id());
     }
 
+    private void workChanged(Engine engine) {
+        if (mNeeds.needsModel()) {
+            mContext.orders().workChanged(engine.id());
+        }
+    }
+
     private void attemptEnded(Engine engine, String how) {
         mAttempt = Optional.empty();
         mContext.dispatcher().ended(engine.id(), mNeeds);
+        workChanged(engine);
         mContext.node().metrics().attempt(mNeeds.service(), how.split(" ")[0]);
         if (!how.startsWith("status 2")) {
             mContext.node()
@@ -289,7 +324,7 @@
         }
         double seconds = leftMillis() * RETURN_SHARE / 1_000;
         mAnswer.refuse(outcome, mHead.attemptId(), seconds);
-        finish(outcome.code(), "");
+        finish(outcome.code(), mWaitReason);
     }
 
     private void abort(String cause) {
@@ -306,7 +341,11 @@
 
     private void finish(String outcome, String detail) {
         mDone = true;
-        mAttempt.ifPresent(a -> mContext.dispatcher().ended(a.engine().id(), mNeeds));
+        mAttempt.ifPresent(
+                a -> {
+                    mContext.dispatcher().ended(a.engine().id(), mNeeds);
+                    workChanged(a.engine());
+                });
         mAttempt = Optional.empty();
         mContext.queue().remove(this);
         mContext.closed();
@@ -325,6 +364,8 @@
                         outcome,
                         "detail",
                         detail,
+                        "first_ms",
+                        mAnswer.firstMillis(mNeeds.arrivedNanos()),
                         "ms",
                         Duration.ofNanos(mContext.now() - mNeeds.arrivedNanos()).toMillis());
         mContext.offerWaiting();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontService.java
@@ -1,12 +1,15 @@
 package org.fescuehollow.gateway.calls;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.fescuehollow.catalog.ClientLimits;
 import org.fescuehollow.catalog.Configuration;
@@ -43,6 +46,8 @@
     private final NodeContext mNode;
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
+    private final Set<HttpConnection> mConnections = new HashSet<>();
+    private final Set<HttpConnection> mBusy = new HashSet<>();
     private CallContext mContext;
     private HttpServer mServer;
     private long mTimer;
@@ -85,6 +90,7 @@
                                         .setMaxInitialLineLength(HEADER_BYTES)
                                         .setAcceptBacklog(BACKLOG)
                                         .setHandle100ContinueAutomatically(true))
+                        .connectionHandler(this::connected)
                         .requestHandler(this::receive);
         mServer.listen(address.port(), address.host())
                 .toCompletionStage()
@@ -110,7 +116,18 @@
         mContext.offerWaiting();
     }
 
+    private void connected(HttpConnection connection) {
+        mConnections.add(connection);
+        connection.closeHandler(
+                v -> {
+                    mConnections.remove(connection);
+                    mBusy.remove(connection);
+                });
+    }
+
     private void receive(HttpServerRequest request) {
+        mBusy.add(request.connection());
+        request.response().endHandler(v -> mBusy.remove(request.connection()));
         int most =
                 mContext.catalog()
                         .configuration()
@@ -136,6 +153,10 @@
 
     private void received(HttpServerRequest request, Buffer body) {
         Optional<Configuration> configuration = mContext.catalog().configuration();
+        if (mContext.isClosed()) {
+            refuse(request, Outcome.NOT_RUN);
+            return;
+        }
         if (configuration.isEmpty()) {
             refuse(request, Outcome.NO_CONFIGURATION);
             return;
@@ -192,6 +213,15 @@
         mContext.leave();
     }
 
+    /** Takes no more requests, and closes the connections on which none is under way. */
+    public void close() {
+        mContext.close();
+        mConnections.stream()
+                .filter(c -> !mBusy.contains(c))
+                .toList()
+                .forEach(HttpConnection::close);
+    }
+
     /**
      * Returns the requests under way.
      *
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -26,6 +26,7 @@
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.wire.ExchangeProto.AdapterWant;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
+import org.fescuehollow.wire.ExchangeProto.EngineWork;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
 import org.fescuehollow.wire.ExchangeProto.PeerSeen;
 
@@ -151,7 +152,7 @@
                 news.addWork(NewsCodec.work(e.id(), work, mDispatcher.ownAdapters(e.id())));
             }
         }
-        mOrders.holdings().forEach((e, h) -> news.addHoldings(holding(e, h)));
+        mOrders.holdings().forEach((e, h) -> news.addHoldings(NewsCodec.holding(e, h)));
         return news.build();
     }
 
@@ -174,10 +175,6 @@
         return seen.build();
     }
 
-    private static EngineHolding holding(String engine, OrderService.Holding h) {
-        return NewsCodec.holding(engine, h.fence(), h.adapters());
-    }
-
     private void send(byte[] news, String ip) {
         mSocket.send(Buffer.buffer(news), mContext.settings().exchangePort(), ip)
                 .onFailure(e -> mContext.metrics().event("datagram_not_sent"));
@@ -208,10 +205,25 @@
      * @param holding what is ready there
      */
     public void tellHolding(String engine, OrderService.Holding holding) {
-        byte[] news = news().addHoldings(holding(engine, holding)).build().toByteArray();
+        tellLive(news().addHoldings(NewsCodec.holding(engine, holding)).build());
+    }
+
+    private void tellLive(NodeNews news) {
+        byte[] bytes = news.toByteArray();
         mPeers.peers().stream()
                 .filter(p -> mLive.contains(p.name()))
-                .forEach(p -> send(news, p.ip()));
+                .forEach(p -> send(bytes, p.ip()));
+    }
+
+    /**
+     * Tells live nodes this node's work on an engine.
+     *
+     * @param engine the engine's id
+     */
+    public void tellWork(String engine) {
+        EngineWork work =
+                NewsCodec.work(engine, mDispatcher.own(engine), mDispatcher.ownAdapters(engine));
+        tellLive(news().addWork(work).build());
     }
 
     private void receive(Buffer data) {
@@ -250,8 +262,8 @@
                             p ->
                                     mPeers.mentioned(
                                             new Peer(p.getNode(), p.getDomain(), p.getIp()), now));
-            takeWork(news, now);
         }
+        takeWork(news, now);
         takeHoldings(news, now);
         news.getWantsList()
                 .forEach(
@@ -277,6 +289,9 @@
                                     now);
                             mOrders.used(w.getEngine(), adapters);
                         });
+        if (!news.getWhole()) {
+            return;
+        }
         mCatalog.engines().stream()
                 .filter(e -> !busy.contains(e.id()))
                 .forEach(
@@ -294,7 +309,8 @@
         for (EngineHolding h : news.getHoldingsList()) {
             held.add(h.getEngine());
             mOrders.rivalHolds(h.getEngine(), news.getNode(), h.getFence());
-            mResidency.held(h.getEngine(), news.getNode(), NewsCodec.adapters(h), now);
+            mResidency.held(
+                    h.getEngine(), news.getNode(), NewsCodec.adapters(h), h.getSpare(), now);
         }
         if (news.getWhole()) {
             Set<String> before = mHeldBy.put(news.getNode(), held);
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/NewsCodec.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/NewsCodec.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.dispatch.EngineLoad;
+import org.fescuehollow.gateway.orders.OrderService;
 import org.fescuehollow.wire.ExchangeProto.Adapter;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
@@ -45,10 +46,12 @@
         return work.getAdaptersList().stream().map(NewsCodec::key).collect(Collectors.toSet());
     }
 
-    static EngineHolding holding(String engine, long fence, Map<AdapterKey, Long> adapters) {
+    static EngineHolding holding(String engine, OrderService.Holding holding) {
+        Map<AdapterKey, Long> adapters = holding.adapters();
         return EngineHolding.newBuilder()
                 .setEngine(engine)
-                .setFence(fence)
+                .setFence(holding.fence())
+                .setSpare(holding.spare())
                 .addAllAdapters(
                         adapters.entrySet().stream()
                                 .map(e -> adapter(e.getKey(), e.getValue()))
--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeContext.java
@@ -11,7 +11,9 @@
  * <p>All decisions are taken on the one event loop of the Vert.x instance.
  *
  * @param vertx the Vert.x instance, with one event loop
- * @param client the HTTP client; it opens a connection for each request
+ * @param client the HTTP client for requests; it opens a connection for each
+ * @param control the HTTP client for calls of this system's own, which may be repeated; it keeps
+ *     connections
  * @param clock the clock
  * @param settings the settings
  * @param log the log
@@ -20,6 +22,7 @@
 public record NodeContext(
         Vertx vertx,
         HttpClient client,
+        HttpClient control,
         NodeClock clock,
         NodeSettings settings,
         EventLog log,
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -2,11 +2,13 @@
 
 import io.vertx.core.Future;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.EngineSpec;
 import org.fescuehollow.catalog.EngineState;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.exchange.PeerTable;
@@ -37,12 +39,18 @@
     /** A node knows the others by then, and hears who holds what. */
     private static final long SETTLE_NANOS = Duration.ofMillis(2_000).toNanos();
 
+    /** After an order without an answer: the engine may be restarting. */
+    private static final long UNANSWERED_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
+
+    /** Orders without an answer after which the engine is left to its next life. */
+    private static final int MOST_UNANSWERED = 6;
+
     private final NodeContext mContext;
     private final EngineControl mControl;
     private final Dispatcher mDispatcher;
     private final PeerTable mPeers;
     private final OrderService mOwner;
-    private final int mPlaces;
+    private final EngineSpec mSpec;
     private final OrderReign mReign;
     private final long mCreatedNanos;
     private Engine mEngine;
@@ -51,6 +59,10 @@
     private long mReportNanos;
     private long mFence;
     private boolean mBusy;
+    private int mUnanswered;
+    private int mOrdersSent;
+    private int mOrdersAtReport = -1;
+    private long mNotBeforeNanos = Long.MIN_VALUE;
 
     EngineOrders(
             NodeContext context,
@@ -58,14 +70,14 @@
             Dispatcher dispatcher,
             PeerTable peers,
             Engine engine,
-            int places,
+            EngineSpec spec,
             OrderService owner) {
         mContext = context;
         mControl = control;
         mDispatcher = dispatcher;
         mPeers = peers;
         mEngine = engine;
-        mPlaces = places;
+        mSpec = spec;
         mOwner = owner;
         mCreatedNanos = context.clock().now();
         mReign = new OrderReign(context.settings().leaseMillis(), mCreatedNanos);
@@ -88,11 +100,20 @@
         mReign.engineRestarted(now);
         mReport = Optional.empty();
         if (mReign.isHolding()) {
-            mKeeper = Optional.of(new AdapterKeeper(mPlaces, emptyState(engine)));
+            mKeeper = Optional.of(keeper(emptyState(engine)));
             mOwner.changed(engine.id(), holding().orElseThrow());
         }
     }
 
+    private AdapterKeeper keeper(EngineState state) {
+        // Engines that come back empty take turns between the models, by hash.
+        List<String> models = mSpec.loadMillis().keySet().stream().sorted().toList();
+        int turn = models.isEmpty() ? 0 : Math.floorMod(mEngine.id().hashCode(), models.size());
+        Optional<String> model =
+                models.isEmpty() ? Optional.empty() : Optional.of(models.get(turn));
+        return new AdapterKeeper(mSpec.adapterSlots(), model, state);
+    }
+
     private static EngineState emptyState(Engine e) {
         return new EngineState(
                 e.startedMillis(),
@@ -109,6 +130,9 @@
         if (mReign.mayOrder(mPeers.seenByAll(now), now)) {
             mOwner.stillHolds(mEngine.id(), holding().orElseThrow(), now);
             pump();
+            if (mReign.count() < 0 && !mBusy && now - mReportNanos >= REPORT_NANOS) {
+                recount(now);
+            }
         } else if (!mReign.isHolding()) {
             mKeeper = Optional.empty();
             mOwner.lost(mEngine.id());
@@ -116,6 +140,24 @@
         }
     }
 
+    /**
+     * Learns the engine's count again; reports are old, so a count stands only if no order was
+     * sent since the report before.
+     */
+    private void recount(long now) {
+        mReportNanos = now;
+        int orders = mOrdersSent;
+        mControl.report(mEngine)
+                .onSuccess(
+                        s -> {
+                            if (orders == mOrdersSent && orders == mOrdersAtReport) {
+                                mReign.countKnown(s.orderCount());
+                            }
+                            mOrdersAtReport = orders;
+                        })
+                .onFailure(this::silent);
+    }
+
     private void observe(long now) {
         Optional<String> rival = mOwner.rival(mEngine.id(), now);
         if (rival.isPresent()) {
@@ -153,7 +195,7 @@
     private void claim(int rank, long now) {
         EngineState state = mReport.orElseThrow();
         mReign.claim(now);
-        mKeeper = Optional.of(new AdapterKeeper(mPlaces, state));
+        mKeeper = Optional.of(keeper(state));
         // Milliseconds leave room for a part that differs between nodes and fits a JSON number.
         long unique = Math.floorMod(mContext.settings().node().hashCode(), 1_024);
         mFence = Math.max(mFence + 1_024, System.currentTimeMillis() * 1_024 + unique);
@@ -184,8 +226,9 @@
     }
 
     void lose(String cause) {
-        if (mReign.isHolding()) {
-            mReign.lose(mContext.clock().now());
+        boolean held = mReign.isHolding();
+        mReign.lose(mContext.clock().now());
+        if (held) {
             mKeeper = Optional.empty();
             mReport = Optional.empty();
             mOwner.lost(mEngine.id());
@@ -209,13 +252,25 @@
 
     Optional<OrderService.Holding> holding() {
         return mKeeper.filter(k -> isHolding())
-                .map(k -> new OrderService.Holding(mFence, k.present()));
+                .map(k -> new OrderService.Holding(mFence, k.present(), spare(k)));
+    }
+
+    private int spare(AdapterKeeper keeper) {
+        long now = mContext.clock().now();
+        return keeper.spare(a -> inUse(a, now), now);
+    }
+
+    /** Takes that other adapters are in use than before. */
+    void workChanged() {
+        if (mKeeper.filter(k -> k.wanted() > 0).isPresent()) {
+            pump();
+        }
     }
 
     /** Sends the next order if one is due and none is under way. */
     private void pump() {
         long now = mContext.clock().now();
-        if (mBusy || mKeeper.isEmpty() || !mReign.mayOrder(mPeers.seenByAll(now), now)) {
+        if (mBusy || now < mNotBeforeNanos || mKeeper.isEmpty() || !mReign.mayOrder(mPeers.seenByAll(now), now)) {
             return;
         }
         AdapterKeeper keeper = mKeeper.orElseThrow();
@@ -233,6 +288,7 @@
 
     private void send(AdapterOrder order, long now) {
         mBusy = true;
+        mOrdersSent++;
         OrderCall call =
                 new OrderCall(
                         mEngine.id(),
@@ -246,7 +302,7 @@
                         mReign.count());
         if (order.action() == AdapterOrder.Action.UNLOAD && !order.asks()) {
             // Others stop sending before the engine refuses them.
-            mOwner.leaving(mEngine.id(), order.adapter());
+            mOwner.leaving(mEngine.id(), holding().orElseThrow(), order.adapter());
         }
         Future<OrderReply> reply = mControl.order(call);
         reply.onSuccess(r -> replied(order, r, now));
@@ -277,11 +333,26 @@
         switch (reply) {
             case UNDER_WAY, HOLDS -> accepted(order, reply, sentNanos, now);
             case IMPOSSIBLE -> mKeeper.get().answered(order, reply, now);
+            case UNKNOWN -> unanswered(order, reply, now);
             default -> lose("reply " + reply);
         }
     }
 
+    private void unanswered(AdapterOrder order, OrderReply reply, long now) {
+        mUnanswered++;
+        if (mUnanswered >= MOST_UNANSWERED) {
+            lose("unanswered orders");
+            return;
+        }
+        mReign.countInDoubt();
+        if (mKeeper.orElseThrow().answered(order, reply, now)) {
+            mOwner.changed(mEngine.id(), holding().orElseThrow());
+        }
+        mNotBeforeNanos = now + UNANSWERED_PAUSE_NANOS;
+    }
+
     private void accepted(AdapterOrder order, OrderReply reply, long sentNanos, long now) {
+        mUnanswered = 0;
         AdapterKeeper keeper = mKeeper.orElseThrow();
         boolean counted = !order.asks() && countsAs(order, reply);
         if (counted) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -51,8 +51,9 @@
      *
      * @param fence the fencing number of the reign
      * @param adapters the adapters that are ready, with their versions
+     * @param spare how many more it could load now; negative if more are wanted than fit
      */
-    public record Holding(long fence, Map<AdapterKey, Long> adapters) {}
+    public record Holding(long fence, Map<AdapterKey, Long> adapters, int spare) {}
 
     /**
      * Creates the service.
@@ -65,7 +66,7 @@
         mContext = context;
         mDispatcher = dispatcher;
         mResidency = residency;
-        mControl = new EngineControl(context.client());
+        mControl = new EngineControl(context.control());
     }
 
     @Override
@@ -139,20 +140,36 @@
 
     private EngineOrders engineOrders(Engine e, EngineSpec spec) {
         return new EngineOrders(
-                mContext, mControl, mDispatcher, exchange().peers(), e, spec.adapterSlots(), this);
+                mContext, mControl, mDispatcher, exchange().peers(), e, spec, this);
     }
 
     /** Takes that what an engine of this node holds has changed. */
     void changed(String engine, Holding holding) {
         long now = mContext.clock().now();
-        mResidency.held(engine, mContext.settings().node(), holding.adapters(), now);
+        stillHolds(engine, holding, now);
         exchange().tellHolding(engine, holding);
         mListener.run();
     }
 
-    /** Takes that an adapter is about to leave an engine of this node. */
-    void leaving(String engine, AdapterKey adapter) {
+    /** Takes that an adapter is about to leave an engine of this node; others stop using it. */
+    void leaving(String engine, Holding holding, AdapterKey adapter) {
         mResidency.refused(engine, adapter);
+        Map<AdapterKey, Long> rest = new HashMap<>(holding.adapters());
+        rest.remove(adapter);
+        exchange().tellHolding(engine, new Holding(holding.fence(), rest, holding.spare()));
+    }
+
+    /**
+     * Tells the other nodes that this node's work on an engine has changed.
+     *
+     * @param engine the engine's id
+     */
+    public void workChanged(String engine) {
+        EngineOrders own = mEngines.get(engine);
+        if (own != null && own.isHolding()) {
+            own.workChanged();
+        }
+        exchange().tellWork(engine);
     }
 
     /** Takes that this node lost an engine. */
@@ -162,7 +179,8 @@
 
     /** Keeps this node's own word on an engine fresh. */
     void stillHolds(String engine, Holding holding, long now) {
-        mResidency.held(engine, mContext.settings().node(), holding.adapters(), now);
+        String self = mContext.settings().node();
+        mResidency.held(engine, self, holding.adapters(), holding.spare(), now);
     }
 
     /** Finds the other node that says it holds an engine. */
@@ -223,7 +241,11 @@
      */
     public void used(String engine, Set<AdapterKey> adapters) {
         Optional.ofNullable(mEngines.get(engine))
-                .ifPresent(e -> e.used(adapters, mContext.clock().now()));
+                .ifPresent(
+                        e -> {
+                            e.used(adapters, mContext.clock().now());
+                            e.workChanged();
+                        });
     }
 
     /**
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -78,7 +78,7 @@
     public void start(Kernel kernel) {
         StoreClient store =
                 new StoreClient(
-                        mContext.client(),
+                        mContext.control(),
                         mContext.settings().store().host(),
                         mContext.settings().store().port());
         mOperators =
