Loads bounded by what the weight store carries, and told to all nodes

Ruled out: places (50 of 104 in use), reading speed (time to first token after sending 0.2 s). Change: holders tell what is coming; a load begins only while fewer are on their way than the limit, which follows the times that loads take; an adapter that comes to one engine isn't asked of another. Conclusion: copies of busy adapters are the next cause.

--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -36,8 +36,11 @@
     /** A running request slows the others by about this much of a step, in milliseconds. */
     private static final double RUNNING_MILLIS = 1.0;
 
-    /** One more engine loads an adapter when those that have it are this much behind. */
-    private static final double SPREAD_MILLIS = 180;
+    /**
+     * Of the latency objective, how far engines that have an adapter may be behind before one more
+     * loads it; a copy costs a place and a load.
+     */
+    private static final double SPREAD_SHARE = 0.55;
 
     /** Memory filled beyond this share makes engines preempt requests. */
     private static final double CACHE_SHARE = 0.92;
@@ -120,7 +123,9 @@
             return new Placement.Wait(reason, loadTarget(call, usable, now));
         }
         mTargets.remove(call.adapter());
-        boolean busy = call.adapter().isAdapter() && score(best.get(), call, now) > SPREAD_MILLIS;
+        boolean busy =
+                call.adapter().isAdapter()
+                        && score(best.get(), call, now) > spreadMillis(call);
         Optional<String> more = busy ? spreadTarget(call, usable, best.get(), now) : Optional.empty();
         return new Placement.Send(best.get().engine().id(), more);
     }
@@ -191,6 +196,14 @@
         if (!call.adapter().isAdapter()) {
             return Optional.empty();
         }
+        Optional<String> coming =
+                usable.stream()
+                        .map(e -> e.engine().id())
+                        .filter(id -> mResidency.isComing(id, call.adapter(), now))
+                        .findFirst();
+        if (coming.isPresent()) {
+            return coming;
+        }
         LoadTarget t = mTargets.get(call.adapter());
         boolean patient =
                 t != null
@@ -244,9 +257,19 @@
                 .toList();
     }
 
+    private static double spreadMillis(CallNeeds call) {
+        return (call.targetNanos() - call.arrivedNanos()) / 1e6 * SPREAD_SHARE;
+    }
+
     private Optional<String> spreadTarget(
             CallNeeds call, List<EngineLoad> usable, EngineLoad best, long now) {
-        double limit = score(best, call, now) - SPREAD_MILLIS / 2;
+        boolean comes =
+                usable.stream()
+                        .anyMatch(e -> mResidency.isComing(e.engine().id(), call.adapter(), now));
+        if (comes) {
+            return Optional.empty();
+        }
+        double limit = score(best, call, now) - spreadMillis(call) / 2;
         return ranked(call, usable, now).stream()
                 .filter(this::hasRoom)
                 .limit(3)
--- a/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
+++ b/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.EngineState;
@@ -15,7 +17,9 @@
  * Decides which adapters one engine holds, for the node that gives it orders.
  *
  * <p>Load pattern: many adapters are asked for rarely, few often. A wanted adapter takes the place
- * of the one unused for longest; one in use, or used a moment ago, keeps its place.
+ * of the idle one that was in use least of the time lately, so that a row of rare ones does not
+ * drive out the few that are asked for often; one in use, or used a moment ago, keeps its place.
+ * Wants of urgent requests go first.
  *
  * <p>Load pattern: engines crash or are replaced and come back empty. Their base model is loaded
  * before anything else, as no adapter can be without it.
@@ -28,11 +32,20 @@
     /** Nodes tell at once which adapters they use; an adapter unused for longer is idle. */
     private static final long LEAST_IDLE_NANOS = Duration.ofMillis(80).toNanos();
 
-    /** A load is asked about this often; about the time that an order takes. */
-    private static final long ASK_NANOS = Duration.ofMillis(15).toNanos();
+    /** An order is asked about this often once it may be done; a few times what a call takes. */
+    private static final long ASK_NANOS = Duration.ofMillis(20).toNanos();
+
+    /** Until then a load from the engine's own copy is done. */
+    private static final long QUICK_NANOS = Duration.ofMillis(60).toNanos();
+
+    /** Of the time that loads took, what passes before the next question. */
+    private static final double EXPECTED_SHARE = 0.95;
 
     /** A want that nobody repeats for this long is dropped; nodes repeat theirs more often. */
-    private static final long WANT_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long WANT_NANOS = Duration.ofMillis(400).toNanos();
+
+    /** After this time, use counts half; about the time in which demand shifts. */
+    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(8).toNanos();
 
     /** Loads on their way to one engine; engines accept no more at a time. */
     private static final int MOST_COMING = 4;
@@ -49,6 +62,8 @@
     private final Map<AdapterKey, Place> mTaken = new HashMap<>();
     private final Map<AdapterKey, Want> mWants = new LinkedHashMap<>();
     private final Map<AdapterKey, Long> mLastUse = new HashMap<>();
+    private final Map<AdapterKey, Double> mHeat = new HashMap<>();
+    private long mSampledNanos;
 
     /** What stands in a place. */
     private enum Phase {
@@ -58,10 +73,14 @@
     }
 
     /** A place that is taken. */
-    private record Place(Phase phase, long version, long askedNanos) {}
+    private record Place(Phase phase, long version, long askedNanos, long sinceNanos) {
+        Place(Phase phase, long version, long now) {
+            this(phase, version, now, now);
+        }
+    }
 
     /** An adapter that requests wait for. */
-    private record Want(long version, long untilNanos) {}
+    private record Want(long version, int rank, long untilNanos) {}
 
     /**
      * Creates the state of an engine.
@@ -83,14 +102,30 @@
      *
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
+     * @param rank the priority of the most urgent request, 0 being the highest
      * @param now the monotonic time in nanoseconds
      */
-    public void want(AdapterKey adapter, long version, long now) {
+    public void want(AdapterKey adapter, long version, int rank, long now) {
         if (!isPresent(adapter, version)) {
-            mWants.put(adapter, new Want(version, now + WANT_NANOS));
+            Want before = mWants.get(adapter);
+            int best = before == null ? rank : Math.min(rank, before.rank());
+            mWants.put(adapter, new Want(version, best, now + WANT_NANOS));
         }
     }
 
+    /**
+     * Takes which adapters are in use; to be called regularly.
+     *
+     * @param inUse tells whether requests run on an adapter, on any node
+     * @param now the monotonic time in nanoseconds
+     */
+    public void sample(Predicate<AdapterKey> inUse, long now) {
+        double decay = Math.pow(0.5, (now - mSampledNanos) / HALF_LIFE_NANOS);
+        mSampledNanos = now;
+        mHeat.keySet().retainAll(mTaken.keySet());
+        mTaken.keySet().forEach(a -> mHeat.merge(a, inUse.test(a) ? 1.0 : 0, (h, u) -> h * decay + u));
+    }
+
     /**
      * Takes that an adapter was used.
      *
@@ -105,17 +140,25 @@
      * Chooses the next order.
      *
      * @param inUse tells whether requests run on an adapter, on any node
+     * @param mayLoad tells whether the weight store carries one more load, of this adapter
+     * @param expectedNanos the time that a load from the store takes
      * @param now the monotonic time in nanoseconds
      * @return the order, or empty if there is nothing to do now
      */
-    public Optional<AdapterOrder> next(Predicate<AdapterKey> inUse, long now) {
+    public Optional<AdapterOrder> next(
+            Predicate<AdapterKey> inUse,
+            Predicate<AdapterKey> mayLoad,
+            long expectedNanos,
+            long now) {
         mWants.values().removeIf(w -> w.untilNanos() < now);
         boolean modelComes =
                 mModels.isEmpty()
                         || mModels.values().stream().anyMatch(p -> p.phase() != Phase.PRESENT);
         return modelComes
                 ? model(now)
-                : question(now).or(() -> load(now)).or(() -> unload(inUse, now));
+                : question(expectedNanos, now)
+                        .or(() -> load(mayLoad))
+                        .or(() -> unload(inUse, mayLoad, now));
     }
 
     /** An engine carries out nothing else while it loads a base model. */
@@ -134,10 +177,10 @@
                                         mModels.containsKey(m)));
     }
 
-    private Optional<AdapterOrder> question(long now) {
+    private Optional<AdapterOrder> question(long expectedNanos, long now) {
         return mTaken.entrySet().stream()
                 .filter(e -> e.getValue().phase() != Phase.PRESENT)
-                .filter(e -> now - e.getValue().askedNanos() >= ASK_NANOS)
+                .filter(e -> mayBeDone(e.getValue(), expectedNanos, now))
                 .min(Comparator.comparingLong(e -> e.getValue().askedNanos()))
                 .map(
                         e ->
@@ -148,16 +191,26 @@
                                         true));
     }
 
+    private static boolean mayBeDone(Place p, long expectedNanos, long now) {
+        long age = now - p.sinceNanos();
+        boolean plausible =
+                p.phase() == Phase.LEAVING
+                        || age < QUICK_NANOS
+                        || age >= expectedNanos * EXPECTED_SHARE;
+        return plausible && now - p.askedNanos() >= ASK_NANOS;
+    }
+
     private static AdapterOrder.Action actionOf(Phase phase) {
         return phase == Phase.LEAVING ? AdapterOrder.Action.UNLOAD : AdapterOrder.Action.LOAD;
     }
 
-    private Optional<AdapterOrder> load(long now) {
+    private Optional<AdapterOrder> load(Predicate<AdapterKey> mayLoad) {
         boolean full = mTaken.size() >= mPlaces || count(Phase.COMING) >= MOST_COMING;
         return mWants.entrySet().stream()
                 .filter(e -> mModels.containsKey(e.getKey().model()))
                 .filter(e -> mTaken.containsKey(e.getKey()) ? isStale(e) : !full)
-                .findFirst()
+                .filter(e -> mayLoad.test(e.getKey()))
+                .min(Comparator.comparingInt(e -> e.getValue().rank()))
                 .map(
                         e ->
                                 new AdapterOrder(
@@ -176,15 +229,21 @@
         return mTaken.values().stream().filter(p -> p.phase() == phase).count();
     }
 
-    private Optional<AdapterOrder> unload(Predicate<AdapterKey> inUse, long now) {
-        long wanted = mWants.keySet().stream().filter(a -> !mTaken.containsKey(a)).count();
+    private Optional<AdapterOrder> unload(
+            Predicate<AdapterKey> inUse, Predicate<AdapterKey> mayLoad, long now) {
+        long wanted =
+                mWants.keySet().stream()
+                        .filter(a -> !mTaken.containsKey(a) && mayLoad.test(a))
+                        .count();
         long room = mPlaces - mTaken.size() + count(Phase.LEAVING);
         if (wanted <= room || count(Phase.COMING) >= MOST_COMING) {
             return Optional.empty();
         }
         return idle(inUse, now)
                 .filter(a -> !mWants.containsKey(a))
-                .min(Comparator.comparingLong(a -> lastUse(a, now)))
+                .min(
+                        Comparator.<AdapterKey>comparingDouble(a -> mHeat.getOrDefault(a, 0.0))
+                                .thenComparingLong(a -> lastUse(a, now)))
                 .map(a -> new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false));
     }
 
@@ -228,7 +287,7 @@
                 .min(Comparator.comparingLong(a -> lastUse(a, now)))
                 .map(
                         a -> {
-                            mWants.put(a, new Want(0, now + WANT_NANOS));
+                            mWants.put(a, new Want(0, 0, now + WANT_NANOS));
                             return new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false);
                         });
     }
@@ -261,8 +320,11 @@
             // An order without an answer may have been accepted; asking again tells.
             case UNDER_WAY, UNKNOWN -> {
                 Phase phase = load ? Phase.COMING : Phase.LEAVING;
-                Place before = mTaken.put(a, new Place(phase, order.version(), now));
-                return before == null || before.phase() != phase;
+                Place before = mTaken.get(a);
+                boolean same = before != null && before.phase() == phase;
+                long since = same ? before.sinceNanos() : now;
+                mTaken.put(a, new Place(phase, order.version(), now, since));
+                return !same;
             }
             case IMPOSSIBLE -> {
                 mWants.remove(a);
@@ -304,6 +366,31 @@
         return present;
     }
 
+    /**
+     * Returns the adapters that are on their way.
+     *
+     * @return a copy
+     */
+    public Set<AdapterKey> coming() {
+        return mTaken.entrySet().stream()
+                .filter(e -> e.getValue().phase() == Phase.COMING)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns how long an adapter has been on its way.
+     *
+     * @param adapter the adapter
+     * @param now the monotonic time in nanoseconds
+     * @return nanoseconds, or empty if it isn't on its way
+     */
+    public Optional<Long> comingFor(AdapterKey adapter, long now) {
+        return Optional.ofNullable(mTaken.get(adapter))
+                .filter(p -> p.phase() == Phase.COMING)
+                .map(p -> now - p.sinceNanos());
+    }
+
     /**
      * Tells whether an order is still being carried out.
      *
--- a/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
+++ b/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
@@ -22,13 +22,16 @@
     /** A holder that isn't heard for this long is no longer believed; nodes speak each 200 ms. */
     private static final long HOLDER_NANOS = Duration.ofMillis(1_500).toNanos();
 
-    private final Map<String, Holding> mHoldings = new HashMap<>();
+    private final Map<String, Word> mHoldings = new HashMap<>();
     private final Map<String, Map<AdapterKey, Long>> mPublished = new HashMap<>();
     private final Map<String, LatelyHeld> mLately = new HashMap<>();
 
     /** A holder's word on one engine. */
-    private record Holding(
-            String holder, Map<AdapterKey, Long> adapters, int spare, long heardNanos) {}
+    private record Word(String holder, Holding holding, long heardNanos) {
+        Word with(Holding changed) {
+            return new Word(holder, changed, heardNanos);
+        }
+    }
 
     /** Adapters that an engine held, the most recent last; engines keep copies of as many. */
     private static final class LatelyHeld extends LinkedHashMap<AdapterKey, Boolean> {
@@ -59,15 +62,13 @@
      *
      * @param engine the engine's id
      * @param holder the node that gives it orders
-     * @param adapters the adapters that are ready, with their versions
-     * @param spare how many more it could load now; negative if more are wanted than fit
+     * @param holding its word
      * @param now the monotonic time in nanoseconds
      */
-    public void held(
-            String engine, String holder, Map<AdapterKey, Long> adapters, int spare, long now) {
-        mHoldings.put(engine, new Holding(holder, new HashMap<>(adapters), spare, now));
+    public void held(String engine, String holder, Holding holding, long now) {
+        mHoldings.put(engine, new Word(holder, holding, now));
         LatelyHeld lately = mLately.computeIfAbsent(engine, e -> new LatelyHeld());
-        adapters.keySet().forEach(a -> lately.put(a, true));
+        holding.adapters().keySet().forEach(a -> lately.put(a, true));
     }
 
     /**
@@ -89,7 +90,7 @@
      * @return negative if more are wanted than fit; 0 if unknown
      */
     public int spare(String engine) {
-        return Optional.ofNullable(mHoldings.get(engine)).map(Holding::spare).orElse(0);
+        return Optional.ofNullable(mHoldings.get(engine)).map(w -> w.holding().spare()).orElse(0);
     }
 
     /**
@@ -98,9 +99,37 @@
      * @param engine the engine's id
      */
     public void asked(String engine) {
-        mHoldings.computeIfPresent(
-                engine,
-                (e, h) -> new Holding(h.holder(), h.adapters(), h.spare() - 1, h.heardNanos()));
+        mHoldings.computeIfPresent(engine, (e, w) -> w.with(w.holding().withOneMoreAsked()));
+    }
+
+    /**
+     * Tells whether an adapter is on its way to an engine.
+     *
+     * @param engine the engine's id
+     * @param adapter the adapter
+     * @param now the monotonic time in nanoseconds
+     * @return true as far as this node knows
+     */
+    public boolean isComing(String engine, AdapterKey adapter, long now) {
+        return word(engine, now).map(w -> w.holding().coming().contains(adapter)).orElse(false);
+    }
+
+    /**
+     * Returns how many adapters are on their way from the weight store, over all engines.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the count as far as this node knows
+     */
+    public int inTransit(long now) {
+        return mHoldings.values().stream()
+                .filter(w -> now - w.heardNanos() < HOLDER_NANOS)
+                .mapToInt(w -> w.holding().inTransit())
+                .sum();
+    }
+
+    private Optional<Word> word(String engine, long now) {
+        return Optional.ofNullable(mHoldings.get(engine))
+                .filter(w -> now - w.heardNanos() < HOLDER_NANOS);
     }
 
     /**
@@ -120,7 +149,7 @@
      * @param adapter the adapter
      */
     public void refused(String engine, AdapterKey adapter) {
-        Optional.ofNullable(mHoldings.get(engine)).ifPresent(h -> h.adapters().remove(adapter));
+        mHoldings.computeIfPresent(engine, (e, w) -> w.with(w.holding().without(adapter)));
         Optional.ofNullable(mPublished.get(engine)).ifPresent(m -> m.remove(adapter));
     }
 
@@ -150,10 +179,9 @@
     }
 
     private Map<AdapterKey, Long> adapters(String engine, long now) {
-        Holding h = mHoldings.get(engine);
-        return h != null && now - h.heardNanos() < HOLDER_NANOS
-                ? h.adapters()
-                : mPublished.getOrDefault(engine, Map.of());
+        return word(engine, now)
+                .map(w -> w.holding().adapters())
+                .orElseGet(() -> mPublished.getOrDefault(engine, Map.of()));
     }
 
     /**
@@ -164,9 +192,7 @@
      * @return the node, or empty if none was heard lately
      */
     public Optional<String> holder(String engine, long now) {
-        return Optional.ofNullable(mHoldings.get(engine))
-                .filter(h -> now - h.heardNanos() < HOLDER_NANOS)
-                .map(Holding::holder);
+        return word(engine, now).map(Word::holder);
     }
 
     /**
@@ -179,6 +205,6 @@
                 .collect(
                         Collectors.toMap(
                                 Map.Entry::getKey,
-                                e -> e.getValue().holder() + " " + e.getValue().adapters()));
+                                e -> e.getValue().holder() + " " + e.getValue().holding()));
     }
 }
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -12,6 +12,7 @@
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.EngineSpec;
+import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
 import org.junit.jupiter.api.Test;
 
@@ -33,6 +34,10 @@
         mDispatcher.engines(List.of(engines), s -> Optional.of(spec));
     }
 
+    private void held(String engine, Map<AdapterKey, Long> adapters) {
+        mResidency.held(engine, "node", new Holding(1, adapters, Set.of(), 0, 1), 0);
+    }
+
     private CallNeeds call(AdapterKey adapter, int tokens) {
         return new CallNeeds(
                 "call-" + mCalls++,
@@ -65,7 +70,19 @@
     @Test
     void place_asksAHeldEngineToLoadAnAbsentAdapter() {
         engines(engine("e1", "north", false), engine("e2", "south", false));
-        mResidency.held("e2", "node", Map.of(), 1, 0);
+        held("e2", Map.of());
+        then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
+                .isEqualTo(
+                        new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
+    }
+
+    @Test
+    void place_waitsForTheEngineThatIsLoadingTheAdapter() {
+        // GIVEN an adapter on its way to one engine while another has room
+        engines(engine("e1", "north", false), engine("e2", "south", false));
+        held("e1", Map.of());
+        mResidency.held("e2", "node", new Holding(1, Map.of(), Set.of(ADAPTER), 1, -3), 0);
+        // THEN it isn't asked for a second time
         then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
                 .isEqualTo(
                         new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
@@ -80,8 +97,8 @@
     @Test
     void place_prefersTheEngineThatKeepsThePrompt() {
         engines(engine("e1", "south", false), engine("e2", "south", false));
-        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
-        mResidency.held("e2", "node", Map.of(ADAPTER, 1L), 1, 0);
+        held("e1", Map.of(ADAPTER, 1L));
+        held("e2", Map.of(ADAPTER, 1L));
         CallNeeds first = call(ADAPTER, 9_000);
         String engine = sent(first, 0);
         mDispatcher.ended(engine, first);
@@ -91,8 +108,8 @@
     @Test
     void place_spreadsABurstOverTheEnginesThatHaveTheAdapter() {
         engines(engine("e1", "south", false), engine("e2", "south", false));
-        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
-        mResidency.held("e2", "node", Map.of(ADAPTER, 1L), 1, 0);
+        held("e1", Map.of(ADAPTER, 1L));
+        held("e2", Map.of(ADAPTER, 1L));
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 4; i++) {
             used.add(sent(call(ADAPTER, 9_000), 0));
@@ -104,8 +121,8 @@
     void place_asksForOneMoreCopyWhenAllThatHaveItAreBehind() {
         // GIVEN a burst for one adapter that a single engine has
         engines(engine("e1", "south", false), engine("e2", "south", false));
-        mResidency.held("e1", "node", Map.of(ADAPTER, 1L), 1, 0);
-        mResidency.held("e2", "node", Map.of(), 1, 0);
+        held("e1", Map.of(ADAPTER, 1L));
+        held("e2", Map.of());
         // WHEN the engine has many tokens to read
         List<Optional<String>> more = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -25,10 +25,10 @@
     private static final double WAITING_SHARE = 0.6;
 
     /**
-     * Of the latency objective, the part after which waiting for a model engine ends: what waited
-     * longer is late anyway, and its caller does better to come back.
+     * Latency objectives after which waiting for a model engine ends: what waited longer is late
+     * anyway, and its caller does better to come back.
      */
-    private static final double MODEL_WAITING_SHARE = 0.9;
+    private static final double MODEL_WAITING_SHARE = 1.3;
 
     /** Of the time left, the part after which the caller may come back; callers honour a third. */
     private static final double RETURN_SHARE = 0.3;
@@ -169,7 +169,7 @@
     }
 
     private void want(String engine) {
-        mContext.orders().want(engine, mNeeds.adapter(), mNeeds.version());
+        mContext.orders().want(engine, mNeeds.adapter(), mNeeds.version(), mNeeds.rank());
     }
 
     private boolean send(Engine engine, long now) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -23,6 +23,7 @@
 import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
+import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.wire.ExchangeProto.AdapterWant;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
@@ -187,12 +188,15 @@
      * @param engine the engine's id
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
+     * @param rank the priority of the request, 0 being the highest
      */
-    public void want(String holder, String engine, AdapterKey adapter, long version) {
+    public void want(
+            String holder, String engine, AdapterKey adapter, long version, int rank) {
         AdapterWant want =
                 AdapterWant.newBuilder()
                         .setEngine(engine)
                         .setAdapter(NewsCodec.adapter(adapter, version))
+                        .setRank(rank)
                         .build();
         byte[] news = news().addWants(want).build().toByteArray();
         mPeers.find(holder).ifPresent(p -> send(news, p.ip()));
@@ -204,7 +208,7 @@
      * @param engine the engine's id
      * @param holding what is ready there
      */
-    public void tellHolding(String engine, OrderService.Holding holding) {
+    public void tellHolding(String engine, Holding holding) {
         tellLive(news().addHoldings(NewsCodec.holding(engine, holding)).build());
     }
 
@@ -271,7 +275,8 @@
                                 mOrders.want(
                                         w.getEngine(),
                                         NewsCodec.key(w.getAdapter()),
-                                        w.getAdapter().getVersion()));
+                                        w.getAdapter().getVersion(),
+                                        w.getRank()));
     }
 
     private void takeWork(NodeNews news, long now) {
@@ -309,8 +314,7 @@
         for (EngineHolding h : news.getHoldingsList()) {
             held.add(h.getEngine());
             mOrders.rivalHolds(h.getEngine(), news.getNode(), h.getFence());
-            mResidency.held(
-                    h.getEngine(), news.getNode(), NewsCodec.adapters(h), h.getSpare(), now);
+            mResidency.held(h.getEngine(), news.getNode(), NewsCodec.holding(h), now);
         }
         if (news.getWhole()) {
             Set<String> before = mHeldBy.put(news.getNode(), held);
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/NewsCodec.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/NewsCodec.java
@@ -6,7 +6,7 @@
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.dispatch.EngineLoad;
-import org.fescuehollow.gateway.orders.OrderService;
+import org.fescuehollow.residency.Holding;
 import org.fescuehollow.wire.ExchangeProto.Adapter;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
@@ -46,12 +46,14 @@
         return work.getAdaptersList().stream().map(NewsCodec::key).collect(Collectors.toSet());
     }
 
-    static EngineHolding holding(String engine, OrderService.Holding holding) {
+    static EngineHolding holding(String engine, Holding holding) {
         Map<AdapterKey, Long> adapters = holding.adapters();
         return EngineHolding.newBuilder()
                 .setEngine(engine)
                 .setFence(holding.fence())
                 .setSpare(holding.spare())
+                .setInTransit(holding.inTransit())
+                .addAllComing(holding.coming().stream().map(a -> adapter(a, 0)).toList())
                 .addAllAdapters(
                         adapters.entrySet().stream()
                                 .map(e -> adapter(e.getKey(), e.getValue()))
@@ -59,9 +61,12 @@
                 .build();
     }
 
-    static Map<AdapterKey, Long> adapters(EngineHolding holding) {
-        Map<AdapterKey, Long> all = new HashMap<>();
-        holding.getAdaptersList().forEach(a -> all.put(key(a), a.getVersion()));
-        return all;
+    static Holding holding(EngineHolding holding) {
+        Map<AdapterKey, Long> ready = new HashMap<>();
+        holding.getAdaptersList().forEach(a -> ready.put(key(a), a.getVersion()));
+        Set<AdapterKey> coming =
+                holding.getComingList().stream().map(NewsCodec::key).collect(Collectors.toSet());
+        return new Holding(
+                holding.getFence(), ready, coming, holding.getInTransit(), holding.getSpare());
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -17,6 +17,7 @@
 import org.fescuehollow.platform.OrderCall;
 import org.fescuehollow.residency.AdapterKeeper;
 import org.fescuehollow.residency.AdapterOrder;
+import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.OrderReign;
 import org.fescuehollow.residency.OrderReply;
 
@@ -129,6 +130,7 @@
     private void hold(long now) {
         if (mReign.mayOrder(mPeers.seenByAll(now), now)) {
             mOwner.stillHolds(mEngine.id(), holding().orElseThrow(), now);
+            mKeeper.orElseThrow().sample(a -> inUse(a, now), now);
             pump();
             if (mReign.count() < 0 && !mBusy && now - mReportNanos >= REPORT_NANOS) {
                 recount(now);
@@ -237,8 +239,8 @@
         }
     }
 
-    void want(AdapterKey adapter, long version, long now) {
-        mKeeper.ifPresent(k -> k.want(adapter, version, now));
+    void want(AdapterKey adapter, long version, int rank, long now) {
+        mKeeper.ifPresent(k -> k.want(adapter, version, rank, now));
         pump();
     }
 
@@ -250,9 +252,14 @@
         return mReign.isHolding();
     }
 
-    Optional<OrderService.Holding> holding() {
-        return mKeeper.filter(k -> isHolding())
-                .map(k -> new OrderService.Holding(mFence, k.present(), spare(k)));
+    Optional<Holding> holding() {
+        return mKeeper.filter(k -> isHolding()).map(this::holding);
+    }
+
+    private Holding holding(AdapterKeeper keeper) {
+        Set<AdapterKey> coming = keeper.coming();
+        int inTransit = mOwner.inTransit(mEngine.id(), coming);
+        return new Holding(mFence, keeper.present(), coming, inTransit, spare(keeper));
     }
 
     private int spare(AdapterKeeper keeper) {
@@ -275,7 +282,12 @@
         }
         AdapterKeeper keeper = mKeeper.orElseThrow();
         used(mDispatcher.ownAdapters(mEngine.id()), now);
-        Optional<AdapterOrder> order = keeper.next(a -> inUse(a, now), now);
+        Optional<AdapterOrder> order = 
+                keeper.next(
+                        a -> inUse(a, now),
+                        a -> mOwner.mayLoad(mEngine.id(), a, now),
+                        mOwner.loadNanos(),
+                        now);
         if (order.isEmpty() && mReign.needsVisibleOrder(now)) {
             order = keeper.visibleOrder(a -> inUse(a, now), now);
         }
@@ -358,7 +370,10 @@
         if (counted) {
             mReign.accepted(sentNanos);
         }
+        Optional<Long> took = keeper.comingFor(order.adapter(), now);
         if (keeper.answered(order, reply, now)) {
+            took.filter(t -> reply == OrderReply.HOLDS)
+                    .ifPresent(t -> mOwner.loaded(mEngine.id(), order.adapter(), t, now));
             mOwner.changed(mEngine.id(), holding().orElseThrow());
         }
         mContext.vertx().runOnContext(v -> pump());
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -15,7 +15,9 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.platform.EngineControl;
+import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.residency.TransitLimit;
 
 /**
  * Gives load and unload orders to the engines that this node holds, and passes wants on to the
@@ -39,6 +41,7 @@
     private final Map<String, EngineOrders> mEngines = new HashMap<>();
     private final Map<String, Long> mTold = new HashMap<>();
     private final EngineControl mControl;
+    private final TransitLimit mTransit = new TransitLimit();
     private ExchangeService mExchange;
     private CatalogService mCatalog;
     private Kernel mKernel;
@@ -46,15 +49,6 @@
     private boolean mLeaving;
     private long mTimer;
 
-    /**
-     * An engine that this node holds.
-     *
-     * @param fence the fencing number of the reign
-     * @param adapters the adapters that are ready, with their versions
-     * @param spare how many more it could load now; negative if more are wanted than fit
-     */
-    public record Holding(long fence, Map<AdapterKey, Long> adapters, int spare) {}
-
     /**
      * Creates the service.
      *
@@ -154,9 +148,7 @@
     /** Takes that an adapter is about to leave an engine of this node; others stop using it. */
     void leaving(String engine, Holding holding, AdapterKey adapter) {
         mResidency.refused(engine, adapter);
-        Map<AdapterKey, Long> rest = new HashMap<>(holding.adapters());
-        rest.remove(adapter);
-        exchange().tellHolding(engine, new Holding(holding.fence(), rest, holding.spare()));
+        exchange().tellHolding(engine, holding.without(adapter));
     }
 
     /**
@@ -180,7 +172,30 @@
     /** Keeps this node's own word on an engine fresh. */
     void stillHolds(String engine, Holding holding, long now) {
         String self = mContext.settings().node();
-        mResidency.held(engine, self, holding.adapters(), holding.spare(), now);
+        mResidency.held(engine, self, holding, now);
+    }
+
+    /** Tells whether one more load of an adapter may begin. */
+    boolean mayLoad(String engine, AdapterKey adapter, long now) {
+        return mResidency.heldLately(engine, adapter)
+                || mTransit.allows(mResidency.inTransit(now));
+    }
+
+    /** Returns the time that a load from the weight store takes at least, in nanoseconds. */
+    long loadNanos() {
+        return mTransit.loadNanos();
+    }
+
+    /** Counts the loads that come from the weight store rather than from the engine's copies. */
+    int inTransit(String engine, Set<AdapterKey> coming) {
+        return (int) coming.stream().filter(a -> !mResidency.heldLately(engine, a)).count();
+    }
+
+    /** Takes that a load is done. */
+    void loaded(String engine, AdapterKey adapter, long nanos, long now) {
+        if (!mResidency.heldLately(engine, adapter)) {
+            mTransit.done(nanos, mResidency.inTransit(now));
+        }
     }
 
     /** Finds the other node that says it holds an engine. */
@@ -213,12 +228,13 @@
      * @param engine the engine that should load it
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
+     * @param rank the priority of the request, 0 being the highest
      */
-    public void want(String engine, AdapterKey adapter, long version) {
+    public void want(String engine, AdapterKey adapter, long version, int rank) {
         long now = mContext.clock().now();
         EngineOrders own = mEngines.get(engine);
         if (own != null && own.isHolding()) {
-            own.want(adapter, version, now);
+            own.want(adapter, version, rank, now);
             return;
         }
         String key = engine + ' ' + adapter;
@@ -229,7 +245,7 @@
                 .ifPresent(
                         h -> {
                             mTold.put(key, now);
-                            exchange().want(h, engine, adapter, version);
+                            exchange().want(h, engine, adapter, version, rank);
                         });
     }
 
