--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -34,7 +34,13 @@
  */
 public final class Dispatcher {
     /** A running request slows the others by about this much of a step, in milliseconds. */
-    private static final double RUNNING_MILLIS = 1.0;
+    private static final double RUNNING_MILLIS = 4.0;
+
+    /** One more engine loads an adapter when the one that has it runs this many times the mean. */
+    private static final double CROWDED_TIMES = 1.8;
+
+    /** Fewer running requests don't slow each other enough to be worth a copy. */
+    private static final int CROWDED_LEAST = 8;
 
     /**
      * Of the latency objective, how far engines that have an adapter may be behind before one more
@@ -42,6 +48,9 @@
      */
     private static final double SPREAD_SHARE = 0.55;
 
+    /** Of the time at the engines that have an adapter, what it has to take at the one more. */
+    private static final double IDLER_SHARE = 0.6;
+
     /** Memory filled beyond this share makes engines preempt requests. */
     private static final double CACHE_SHARE = 0.92;
 
@@ -125,11 +134,18 @@
         mTargets.remove(call.adapter());
         boolean busy =
                 call.adapter().isAdapter()
-                        && score(best.get(), call, now) > spreadMillis(call);
+                        && (score(best.get(), call, now) > spreadMillis(call)
+                                || isCrowded(best.get(), usable, now));
         Optional<String> more = busy ? spreadTarget(call, usable, best.get(), now) : Optional.empty();
         return new Placement.Send(best.get().engine().id(), more);
     }
 
+    private static boolean isCrowded(EngineLoad e, List<EngineLoad> usable, long now) {
+        int running = e.total(now).running();
+        double mean = usable.stream().mapToInt(u -> u.total(now).running()).average().orElse(0);
+        return running >= CROWDED_LEAST && running > mean * CROWDED_TIMES;
+    }
+
     private List<EngineLoad> usable(String service, Set<String> avoided, long now) {
         List<EngineLoad> all = new ArrayList<>();
         for (EngineLoad e : mEngines.values()) {
@@ -269,7 +285,7 @@
         if (comes) {
             return Optional.empty();
         }
-        double limit = score(best, call, now) - spreadMillis(call) / 2;
+        double limit = score(best, call, now) * IDLER_SHARE;
         return ranked(call, usable, now).stream()
                 .filter(this::hasRoom)
                 .limit(3)
--- a/core/src/main/java/org/fescuehollow/residency/OrderReign.java
+++ b/core/src/main/java/org/fescuehollow/residency/OrderReign.java
@@ -10,15 +10,21 @@
  * either all known nodes say that they hear it, or its own orders move the engine's count, which a
  * rival reads before it begins.
  *
- * <p>Invariant: no order is given later than a third of the lease after others could last see the
+ * <p>Invariant: no order is given later than a quarter of the lease after others could last see the
  * reign, so that a rival's wait leaves a whole lease between the two. Not safe for concurrent use.
  */
 public final class OrderReign {
     /** Parts of the lease for which a reign that nobody sees any more goes on. */
-    private static final int IDLE_PARTS = 3;
+    private static final int IDLE_PARTS = 4;
 
-    /** Added to a rival's wait: reports are some hundred milliseconds old, and asked for as often. */
-    private static final long LAG_NANOS = Duration.ofMillis(900).toNanos();
+    /** Added to a rival's wait for delays on the way. */
+    private static final long LAG_NANOS = Duration.ofMillis(300).toNanos();
+
+    /**
+     * The wait for an engine that was never ordered: reports are some hundred milliseconds old, and
+     * asked for as often.
+     */
+    private static final long FIRST_NANOS = Duration.ofMillis(900).toNanos();
 
     /** Between the claims of two ranks: the first's order is visible in reports by then. */
     private static final long STEP_NANOS = Duration.ofMillis(1_000).toNanos();
@@ -33,6 +39,7 @@
     private long mLastSeen;
     private long mCount;
     private long mObserved;
+    private long mReleased = Long.MIN_VALUE / 2;
     private boolean mFresh = true;
     private boolean mNeverOrdered;
 
@@ -67,7 +74,8 @@
         }
         mNeverOrdered = mFresh && count == 0;
         mFresh = false;
-        mQuietSince = now;
+        boolean released = mCount < 0 && now - mReleased <= GAP_NANOS;
+        mQuietSince = released ? mReleased - mIdleNanos : now;
         mCount = count;
     }
 
@@ -78,6 +86,17 @@
      */
     public void rivalHeard(long now) {
         mQuietSince = Math.max(mQuietSince, now);
+        mReleased = Long.MIN_VALUE / 2;
+    }
+
+    /**
+     * Takes that the holder said that it gives no more orders.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    public void rivalReleased(long now) {
+        mReleased = now;
+        mQuietSince = Math.min(mQuietSince, now - mIdleNanos);
     }
 
     /**
@@ -90,7 +109,8 @@
      */
     public boolean mayClaim(int rank, long now) {
         boolean first = mNeverOrdered && rank == 0;
-        long wait = LAG_NANOS + (first ? 0 : mLeaseNanos + mIdleNanos + rank * STEP_NANOS);
+        long wait =
+                first ? FIRST_NANOS : mLeaseNanos + mIdleNanos + LAG_NANOS + rank * STEP_NANOS;
         boolean current = mCount >= 0 && now - mObserved <= GAP_NANOS;
         return !mHolding && current && now - mQuietSince >= wait;
     }
--- a/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
+++ b/core/src/main/java/org/fescuehollow/residency/ResidencyTable.java
@@ -20,7 +20,7 @@
  */
 public final class ResidencyTable {
     /** A holder that isn't heard for this long is no longer believed; nodes speak each 200 ms. */
-    private static final long HOLDER_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final long HOLDER_NANOS = Duration.ofMillis(1_000).toNanos();
 
     private final Map<String, Word> mHoldings = new HashMap<>();
     private final Map<String, Map<AdapterKey, Long>> mPublished = new HashMap<>();
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -146,6 +146,12 @@
         mContext.log().flush();
     }
 
+    /** Stops at once. */
+    public void stop() {
+        mKernel.stop();
+        mContext.vertx().close().toCompletionStage().toCompletableFuture().join();
+    }
+
     private static void awaitQuiet(FrontService front, long begun, long graceNanos) {
         try {
             while (true) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -269,6 +269,11 @@
         }
         takeWork(news, now);
         takeHoldings(news, now);
+        if (news.getLeaving()) {
+            Optional.ofNullable(mHeldBy.remove(node)).stream()
+                    .flatMap(Set::stream)
+                    .forEach(e -> mOrders.rivalReleased(e));
+        }
         news.getWantsList()
                 .forEach(
                         w ->
@@ -317,11 +322,12 @@
             mResidency.held(h.getEngine(), news.getNode(), NewsCodec.holding(h), now);
         }
         if (news.getWhole()) {
-            Set<String> before = mHeldBy.put(news.getNode(), held);
-            Optional.ofNullable(before).stream()
-                    .flatMap(Set::stream)
+            Set<String> before = mHeldBy.getOrDefault(news.getNode(), Set.of());
+            before.stream()
                     .filter(e -> !held.contains(e))
                     .forEach(e -> mResidency.released(e, news.getNode()));
+            Set<String> known = news.getLeaving() ? before : held;
+            mHeldBy.put(news.getNode(), known);
         }
         if (!held.isEmpty()) {
             mOrders.residencyChanged();
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -53,7 +53,6 @@
     private final OrderService mOwner;
     private final EngineSpec mSpec;
     private final OrderReign mReign;
-    private final long mCreatedNanos;
     private Engine mEngine;
     private Optional<AdapterKeeper> mKeeper = Optional.empty();
     private Optional<EngineState> mReport = Optional.empty();
@@ -80,8 +79,7 @@
         mEngine = engine;
         mSpec = spec;
         mOwner = owner;
-        mCreatedNanos = context.clock().now();
-        mReign = new OrderReign(context.settings().leaseMillis(), mCreatedNanos);
+        mReign = new OrderReign(context.settings().leaseMillis(), context.clock().now());
     }
 
     void tick(Engine engine, long now) {
@@ -171,7 +169,7 @@
             mReportNanos = now;
             mControl.report(mEngine).onSuccess(this::reported).onFailure(this::silent);
         }
-        if (now - mCreatedNanos >= SETTLE_NANOS
+        if (now - mOwner.startedNanos() >= SETTLE_NANOS
                 && mReport.isPresent()
                 && mReign.mayClaim(rank, now)) {
             claim(rank, now);
@@ -227,6 +225,12 @@
         }
     }
 
+    void rivalReleased(long now) {
+        if (!mReign.isHolding()) {
+            mReign.rivalReleased(now);
+        }
+    }
+
     void lose(String cause) {
         boolean held = mReign.isHolding();
         mReign.lose(mContext.clock().now());
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -48,6 +48,7 @@
     private Runnable mListener = () -> {};
     private boolean mLeaving;
     private long mTimer;
+    private long mStartedNanos;
 
     /**
      * Creates the service.
@@ -73,6 +74,7 @@
         mKernel = kernel;
         mCatalog = kernel.find(CatalogService.NAME, CatalogService.class);
         mContext.clock().onPause(this::paused);
+        mStartedNanos = mContext.clock().now();
         mTimer = mContext.vertx().setPeriodic(TICK_MILLIS, t -> tick());
     }
 
@@ -175,6 +177,11 @@
         mResidency.held(engine, self, holding, now);
     }
 
+    /** Returns when this node started, by the monotonic clock. */
+    long startedNanos() {
+        return mStartedNanos;
+    }
+
     /** Tells whether one more load of an adapter may begin. */
     boolean mayLoad(String engine, AdapterKey adapter, long now) {
         return mResidency.heldLately(engine, adapter)
@@ -222,6 +229,16 @@
                 .ifPresent(e -> e.rivalHolds(node, fence, mContext.clock().now()));
     }
 
+    /**
+     * Takes that the node that held an engine gives no more orders.
+     *
+     * @param engine the engine's id
+     */
+    public void rivalReleased(String engine) {
+        Optional.ofNullable(mEngines.get(engine))
+                .ifPresent(e -> e.rivalReleased(mContext.clock().now()));
+    }
+
     /**
      * Takes that requests wait for an adapter.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -0,0 +1,122 @@
+package org.fescuehollow.gateway.testsupport;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** An engine or plain server for tests; what it answers to requests is the test's. */
+public final class EngineStandIn {
+    /** One request as it arrived. */
+    public record Arrival(String id, String uri, String body, MultiMap headers) {}
+
+    private final String mId;
+    private final String mService;
+    private final HttpServer mServer;
+    private final List<Arrival> mArrivals = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> mOrders = Collections.synchronizedList(new ArrayList<>());
+    private final Set<String> mAdapters = Collections.synchronizedSet(new LinkedHashSet<>());
+    private volatile BiConsumer<Arrival, HttpServerRequest> mBehaviour = this::answerWell;
+    private volatile int mOrderCount;
+
+    public EngineStandIn(Vertx vertx, String id, String service) {
+        mId = id;
+        mService = service;
+        mServer = vertx.createHttpServer().requestHandler(this::receive);
+        mServer.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+    }
+
+    public String entry() {
+        return new JsonObject()
+                .put("service", mService)
+                .put("address", "127.0.0.1:" + mServer.actualPort())
+                .put("zone", "north")
+                .put("slots", 8)
+                .put("state", "ready")
+                .put("seq-no", 0)
+                .put("born", 1)
+                .put("models", models())
+                .encode();
+    }
+
+    private JsonArray models() {
+        JsonArray adapters = new JsonArray(mAdapters.stream().map(a -> a + "@1").toList());
+        return new JsonArray()
+                .add(new JsonObject().put("name", "m").put("version", 1).put("adapters", adapters));
+    }
+
+    public void behave(BiConsumer<Arrival, HttpServerRequest> behaviour) {
+        mBehaviour = behaviour;
+    }
+
+    public List<Arrival> arrivals() {
+        return List.copyOf(mArrivals);
+    }
+
+    public List<String> orders() {
+        return List.copyOf(mOrders);
+    }
+
+    private void receive(HttpServerRequest request) {
+        request.body().onSuccess(b -> received(request, b));
+    }
+
+    private void received(HttpServerRequest request, Buffer body) {
+        if (request.path().endsWith("/order")) {
+            order(request, body.toJsonObject());
+        } else if (request.path().endsWith("/report")) {
+            JsonObject report =
+                    new JsonObject().put("models", models()).put("seq-no", mOrderCount);
+            request.response().end(report.put("born", 1).encode());
+        } else {
+            String id = request.getHeader("X-Fescuehollow-Attempt-Id");
+            Arrival a = new Arrival(id, request.uri(), body.toString(), request.headers());
+            mArrivals.add(a);
+            mBehaviour.accept(a, request);
+        }
+    }
+
+    private void order(HttpServerRequest request, JsonObject order) {
+        String adapter = order.getString("adapter", "");
+        mOrders.add(order.getString("holder") + " " + order.getString("op") + " " + adapter);
+        boolean changes =
+                order.getString("op").equals("loading")
+                        ? mAdapters.add(adapter)
+                        : mAdapters.remove(adapter);
+        mOrderCount += changes ? 1 : 0;
+        request.response().setStatusCode(200).end();
+    }
+
+    public void answerWell(Arrival arrival, HttpServerRequest request) {
+        String text = "answer of " + mId + " to " + arrival.body();
+        boolean stream = mService.equals("llm");
+        head(arrival, request).end(stream ? "id: 1\ndata: " + text + "\n\n" : text);
+    }
+
+    public HttpServerResponse head(Arrival arrival, HttpServerRequest request) {
+        return request.response()
+                .putHeader("X-Fescuehollow-Attempt-Id", arrival.id())
+                .putHeader("X-Fescuehollow-Server-Seal", "seal-" + mId);
+    }
+
+    public void refuse(Arrival arrival, HttpServerRequest request) {
+        request.response()
+                .setStatusCode(503)
+                .putHeader("X-Fescuehollow-Not-Executed", "1")
+                .end();
+    }
+
+    public void dropConnection(Arrival arrival, HttpServerRequest request) {
+        request.connection().close();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
@@ -0,0 +1,178 @@
+package org.fescuehollow.gateway.testsupport;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.fescuehollow.gateway.EntryNode;
+import org.fescuehollow.gateway.node.NodeSettings;
+
+/** A store, servers and entry nodes on loopback addresses. */
+public final class Site implements AutoCloseable {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final StoreStandIn mStore = new StoreStandIn(mVertx);
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<EntryNode> mNodes = new ArrayList<>();
+    private final int mCallersPort = freePort();
+    private final int mReadinessPort = freePort();
+    private final int mExchangePort = freePort();
+
+    private static int freePort() {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public StoreStandIn store() {
+        return mStore;
+    }
+
+    public EngineStandIn server(String id, String service) {
+        EngineStandIn server = new EngineStandIn(mVertx, id, service);
+        mStore.put("servers/" + id, server.entry());
+        return server;
+    }
+
+    /** Publishes routes for idempotent, once-only and resumable streaming requests. */
+    public void configure(long version) {
+        JsonArray routes =
+                new JsonArray()
+                        .add(route("idempotent", "/read/", "plain", 2))
+                        .add(route("non_idempotent", "/pay/", "plain", 1))
+                        .add(route("streaming", "/chat/", "llm", 2).put("resumable", true));
+        JsonObject engine =
+                new JsonObject()
+                        .put("slots", 8)
+                        .put("kv-capacity", 100_000)
+                        .put("adapter-slots", 2)
+                        .put("models", new JsonArray().add(new JsonObject().put("name", "m")));
+        JsonArray services =
+                new JsonArray()
+                        .add(new JsonObject().put("name", "plain"))
+                        .add(new JsonObject().put("name", "llm").put("engine", engine));
+        JsonObject limits =
+                new JsonObject()
+                        .put("max-header-bytes", 16_384)
+                        .put("max-body-bytes", 65_536)
+                        .put("idle-timeout-ms", 15_000);
+        mStore.put(
+                "op/config",
+                new JsonObject()
+                        .put("version", version)
+                        .put("routes", routes)
+                        .put("services", services)
+                        .put("limits", limits)
+                        .encode());
+    }
+
+    private static JsonObject route(String type, String prefix, String service, int attempts) {
+        return new JsonObject()
+                .put("name", "r" + prefix)
+                .put("host", "127.0.0.1")
+                .put("prefix", prefix)
+                .put("type", type)
+                .put("timeout-ms", 20_000)
+                .put("target-latency-ms", 15_000)
+                .put("service", service)
+                .put("max-attempts", attempts);
+    }
+
+    /** Starts nodes; the first one's address is the seed of all. */
+    public void start(int count) {
+        for (int i = 0; i < count; i++) {
+            EntryNode node = new EntryNode(NodeSettings.parse(settings(i)));
+            node.start();
+            mNodes.add(node);
+        }
+        await(() -> readiness(0) == 200);
+    }
+
+    private String settings(int i) {
+        String ip = "127.0.0." + (i + 1);
+        return new JsonObject()
+                .put("node", "node-" + i)
+                .put("domain", "north")
+                .put("ip", ip)
+                .put("callers", ip + ":" + mCallersPort)
+                .put("readiness", ip + ":" + mReadinessPort)
+                .put("exchangePorts", new JsonArray().add(mExchangePort))
+                .put("seeds", new JsonArray().add("127.0.0.1:1"))
+                .put("store", mStore.address())
+                .encode();
+    }
+
+    public EntryNode node(int i) {
+        return mNodes.get(i);
+    }
+
+    public int readiness(int node) {
+        return send(node, mReadinessPort, HttpRequest.newBuilder(), "/").statusCode();
+    }
+
+    /** Sends a request with an id to a node and returns its answer. */
+    public HttpResponse<String> call(int node, String path, String id, String body) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder()
+                        .header("X-Fescuehollow-Attempt-Id", id)
+                        .header("X-Fescuehollow-Deadline-Ms", "20000")
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
+        if (path.startsWith("/chat/")) {
+            request.header("X-Fescuehollow-Model", "m/a1")
+                    .header("X-Fescuehollow-Token-Usage", "100,10");
+        }
+        return send(node, mCallersPort, request, path);
+    }
+
+    private HttpResponse<String> send(
+            int node, int port, HttpRequest.Builder request, String path) {
+        URI uri = URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
+        try {
+            return mClient.send(
+                    request.uri(uri).timeout(PATIENCE).build(),
+                    HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Waits until something holds; fails only if it never does. */
+    public static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("expected the condition to hold within " + PATIENCE);
+            }
+            try {
+                TimeUnit.MILLISECONDS.sleep(20);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mNodes.forEach(EntryNode::stop);
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StoreStandIn.java
@@ -0,0 +1,90 @@
+package org.fescuehollow.gateway.testsupport;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+
+/** A store that can be read and watched, for tests; put and remove are the test's. */
+public final class StoreStandIn {
+    private final Vertx mVertx;
+    private final HttpServer mServer;
+    private final SortedMap<String, JsonObject> mItems = new ConcurrentSkipListMap<>();
+    private final List<JsonObject> mEvents = new ArrayList<>();
+    private long mRevision = 5;
+
+    public StoreStandIn(Vertx vertx) {
+        mVertx = vertx;
+        mServer = vertx.createHttpServer().requestHandler(this::answer);
+        mServer.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+    }
+
+    public String address() {
+        return "127.0.0.1:" + mServer.actualPort();
+    }
+
+    public synchronized void put(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        JsonObject item =
+                new JsonObject()
+                        .put("key", key)
+                        .put("value", Base64.getEncoder().encodeToString(bytes))
+                        .put("rev", ++mRevision);
+        mItems.put(key, item);
+        mEvents.add(item);
+    }
+
+    public synchronized void remove(String key) {
+        mItems.remove(key);
+        mEvents.add(
+                new JsonObject().put("key", key).put("rev", ++mRevision).put("tombstone", true));
+    }
+
+    private void answer(HttpServerRequest request) {
+        String prefix = request.getParam("prefix");
+        if (request.path().endsWith("kv-range")) {
+            request.response().end(range(prefix).encode());
+        } else {
+            long after = Long.parseLong(request.getParam("after"));
+            watch(request, prefix, after, Long.parseLong(request.getParam("wait-ms")));
+        }
+    }
+
+    private synchronized JsonObject range(String prefix) {
+        List<JsonObject> items =
+                mItems.values().stream()
+                        .filter(i -> i.getString("key").startsWith(prefix))
+                        .toList();
+        return new JsonObject()
+                .put("items", new JsonArray(items))
+                .put("truncated", false)
+                .put("store-revision", mRevision);
+    }
+
+    private synchronized JsonObject changes(String prefix, long after) {
+        List<JsonObject> events =
+                mEvents.stream()
+                        .filter(e -> e.getLong("rev") > after)
+                        .filter(e -> e.getString("key").startsWith(prefix))
+                        .toList();
+        return new JsonObject()
+                .put("events", new JsonArray(events))
+                .put("store-revision", mRevision);
+    }
+
+    private void watch(HttpServerRequest request, String prefix, long after, long waitMillis) {
+        JsonObject changes = changes(prefix, after);
+        if (waitMillis <= 0 || !changes.getJsonArray("events").isEmpty()) {
+            request.response().end(changes.encode());
+        } else {
+            mVertx.setTimer(20, t -> watch(request, prefix, after, waitMillis - 20));
+        }
+    }
+}
