--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -170,10 +170,14 @@
     /**
      * Runs a node until the process is asked to stop.
      *
-     * @param args none
+     * @param args {@code --train} to run for a moment on the loopback address, for the build
      * @throws InterruptedException if the wait for the end is interrupted
      */
     public static void main(String[] args) throws InterruptedException {
+        if (args.length > 0 && args[0].equals("--train")) {
+            ArchiveTraining.run();
+            return;
+        }
         Path file = Path.of(System.getenv(NodeSettings.VARIABLE));
         EntryNode node = new EntryNode(NodeSettings.read(file));
         node.start();
