--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -96,14 +96,12 @@
      * @param engines all of them
      * @param specs finds what the engines of a service have room for
      */
-    public void engines(
-            Collection<Engine> engines, Function<String, Optional<EngineSpec>> specs) {
+    public void engines(Collection<Engine> engines, Function<String, Optional<EngineSpec>> specs) {
         mSpecs = specs;
         Set<String> ids = engines.stream().map(Engine::id).collect(Collectors.toSet());
         mEngines.keySet().retainAll(ids);
         mResidency.retain(ids);
-        engines.forEach(
-                e -> mEngines.computeIfAbsent(e.id(), id -> new EngineLoad(e)).update(e));
+        engines.forEach(e -> mEngines.computeIfAbsent(e.id(), id -> new EngineLoad(e)).update(e));
     }
 
     /**
@@ -136,7 +134,8 @@
                 call.adapter().isAdapter()
                         && (score(best.get(), call, now) > spreadMillis(call)
                                 || isCrowded(best.get(), usable, now));
-        Optional<String> more = busy ? spreadTarget(call, usable, best.get(), now) : Optional.empty();
+        Optional<String> more =
+                busy ? spreadTarget(call, usable, best.get(), now) : Optional.empty();
         return new Placement.Send(best.get().engine().id(), more);
     }
 
@@ -198,8 +197,7 @@
         double far = e.engine().domain().equals(mDomain) ? 0 : FAR_MILLIS;
         double reading =
                 call.needsModel()
-                        ? speed(call.service())
-                                .millis(work.unreadTokens() + e.unreadTokens(call))
+                        ? speed(call.service()).millis(work.unreadTokens() + e.unreadTokens(call))
                         : work.running() * 40.0 / Math.max(1, e.engine().slots());
         return reading
                 + work.running() * RUNNING_MILLIS
@@ -225,9 +223,7 @@
                 t != null
                         && (now - t.sinceNanos() < LOAD_PATIENCE_NANOS
                                 || usable.stream().noneMatch(this::hasRoom));
-        boolean keep =
-                patient
-                        && usable.stream().anyMatch(e -> e.engine().id().equals(t.engine()));
+        boolean keep = patient && usable.stream().anyMatch(e -> e.engine().id().equals(t.engine()));
         if (keep) {
             return Optional.of(t.engine());
         }
@@ -252,8 +248,8 @@
 
     /**
      * Engines with a holder that lack the adapter: those with room first, before all those that
-     * held it lately, as they load it much faster and without the weight store; then those with
-     * the fewest adapters waiting. The adapter's hash decides between equals.
+     * held it lately, as they load it much faster and without the weight store; then those with the
+     * fewest adapters waiting. The adapter's hash decides between equals.
      */
     private List<EngineLoad> ranked(CallNeeds call, List<EngineLoad> usable, long now) {
         long key = Rendezvous.hash(call.adapter().toString());
@@ -268,8 +264,10 @@
                                                 !mResidency.heldLately(
                                                         e.engine().id(), call.adapter()))
                                 .thenComparing(
-                                e -> Rendezvous.weight(key, Rendezvous.hash(e.engine().id())),
-                                (a, b) -> Long.compareUnsigned(b, a)))
+                                        e ->
+                                                Rendezvous.weight(
+                                                        key, Rendezvous.hash(e.engine().id())),
+                                        (a, b) -> Long.compareUnsigned(b, a)))
                 .toList();
     }
 
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
@@ -57,8 +57,7 @@
      */
     public void unreachable(long now) {
         failed(now);
-        mBlockNanos =
-                Math.min(LONGEST_BLOCK_NANOS, Math.max(FIRST_BLOCK_NANOS, mBlockNanos * 2));
+        mBlockNanos = Math.min(LONGEST_BLOCK_NANOS, Math.max(FIRST_BLOCK_NANOS, mBlockNanos * 2));
         mBlockedUntil = now + mBlockNanos;
     }
 
--- a/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -70,8 +70,7 @@
         if (old || peer.name().equals(mSelf.name())) {
             return false;
         }
-        Optional<Long> heardMe =
-                heardMeMillis.map(m -> now - Duration.ofMillis(m).toNanos());
+        Optional<Long> heardMe = heardMeMillis.map(m -> now - Duration.ofMillis(m).toNanos());
         mKnown.put(peer.name(), new Known(peer, incarnation, sequence, now, heardMe, leaving));
         return true;
     }
--- a/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
+++ b/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
@@ -29,9 +29,6 @@
  * concurrent use.
  */
 public final class AdapterKeeper {
-    /** Nodes tell at once which adapters they use; an adapter unused for longer is idle. */
-    private static final long LEAST_IDLE_NANOS = Duration.ofMillis(80).toNanos();
-
     /** An order is asked about this often once it may be done; a few times what a call takes. */
     private static final long ASK_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -44,9 +41,6 @@
     /** A want that nobody repeats for this long is dropped; nodes repeat theirs more often. */
     private static final long WANT_NANOS = Duration.ofMillis(400).toNanos();
 
-    /** After this time, use counts half; about the time in which demand shifts. */
-    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(8).toNanos();
-
     /** Loads on their way to one engine; engines accept no more at a time. */
     private static final int MOST_COMING = 4;
 
@@ -61,9 +55,7 @@
     private final Map<String, Place> mModels = new HashMap<>();
     private final Map<AdapterKey, Place> mTaken = new HashMap<>();
     private final Map<AdapterKey, Want> mWants = new LinkedHashMap<>();
-    private final Map<AdapterKey, Long> mLastUse = new HashMap<>();
-    private final Map<AdapterKey, Double> mHeat = new HashMap<>();
-    private long mSampledNanos;
+    private final UseMeter mUses = new UseMeter();
 
     /** What stands in a place. */
     private enum Phase {
@@ -120,10 +112,7 @@
      * @param now the monotonic time in nanoseconds
      */
     public void sample(Predicate<AdapterKey> inUse, long now) {
-        double decay = Math.pow(0.5, (now - mSampledNanos) / HALF_LIFE_NANOS);
-        mSampledNanos = now;
-        mHeat.keySet().retainAll(mTaken.keySet());
-        mTaken.keySet().forEach(a -> mHeat.merge(a, inUse.test(a) ? 1.0 : 0, (h, u) -> h * decay + u));
+        mUses.sample(mTaken.keySet(), inUse, now);
     }
 
     /**
@@ -133,7 +122,7 @@
      * @param at when, by the monotonic clock
      */
     public void used(AdapterKey adapter, long at) {
-        mLastUse.merge(adapter, at, Math::max);
+        mUses.used(adapter, at);
     }
 
     /**
@@ -241,9 +230,7 @@
         }
         return idle(inUse, now)
                 .filter(a -> !mWants.containsKey(a))
-                .min(
-                        Comparator.<AdapterKey>comparingDouble(a -> mHeat.getOrDefault(a, 0.0))
-                                .thenComparingLong(a -> lastUse(a, now)))
+                .min(mUses.leastUsedFirst(now))
                 .map(a -> new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false));
     }
 
@@ -252,7 +239,7 @@
                 .filter(e -> e.getValue().phase() == Phase.PRESENT)
                 .map(Map.Entry::getKey)
                 .filter(a -> !inUse.test(a))
-                .filter(a -> now - lastUse(a, now) >= LEAST_IDLE_NANOS);
+                .filter(a -> mUses.isIdle(a, now));
     }
 
     /**
@@ -270,10 +257,6 @@
         return mPlaces - mTaken.size() + (int) idle(inUse, now).count() - mWants.size();
     }
 
-    private long lastUse(AdapterKey adapter, long now) {
-        return mLastUse.getOrDefault(adapter, now - Duration.ofHours(1).toNanos());
-    }
-
     /**
      * Chooses an order that moves the engine's count without harm: an idle adapter leaves and, as
      * it is then wanted, comes back.
@@ -284,7 +267,7 @@
      */
     public Optional<AdapterOrder> visibleOrder(Predicate<AdapterKey> inUse, long now) {
         return idle(inUse, now)
-                .min(Comparator.comparingLong(a -> lastUse(a, now)))
+                .min(mUses.leastUsedFirst(now))
                 .map(
                         a -> {
                             mWants.put(a, new Want(0, 0, now + WANT_NANOS));
@@ -309,9 +292,12 @@
         switch (reply) {
             case HOLDS -> {
                 if (load) {
-                    mTaken.put(a, new Place(Phase.PRESENT, Math.max(FIRST_VERSION, order.version()), now));
+                    mTaken.put(
+                            a,
+                            new Place(
+                                    Phase.PRESENT, Math.max(FIRST_VERSION, order.version()), now));
                     mWants.remove(a);
-                    mLastUse.merge(a, now, Math::max);
+                    mUses.used(a, now);
                 } else {
                     mTaken.remove(a);
                 }
--- a/core/src/main/java/org/fescuehollow/residency/OrderReign.java
+++ b/core/src/main/java/org/fescuehollow/residency/OrderReign.java
@@ -29,7 +29,9 @@
     /** Between the claims of two ranks: the first's order is visible in reports by then. */
     private static final long STEP_NANOS = Duration.ofMillis(1_000).toNanos();
 
-    /** Counts that were read with a longer gap between them don't show that the engine was quiet. */
+    /**
+     * Counts that were read with a longer gap between them don't show that the engine was quiet.
+     */
     private static final long GAP_NANOS = Duration.ofMillis(1_500).toNanos();
 
     private final long mLeaseNanos;
@@ -109,8 +111,7 @@
      */
     public boolean mayClaim(int rank, long now) {
         boolean first = mNeverOrdered && rank == 0;
-        long wait =
-                first ? FIRST_NANOS : mLeaseNanos + mIdleNanos + LAG_NANOS + rank * STEP_NANOS;
+        long wait = first ? FIRST_NANOS : mLeaseNanos + mIdleNanos + LAG_NANOS + rank * STEP_NANOS;
         boolean current = mCount >= 0 && now - mObserved <= GAP_NANOS;
         return !mHolding && current && now - mQuietSince >= wait;
     }
--- a/core/src/main/java/org/fescuehollow/residency/TransitLimit.java
+++ b/core/src/main/java/org/fescuehollow/residency/TransitLimit.java
@@ -6,8 +6,8 @@
  * How many adapters may be on their way from the weight store at once, over all engines.
  *
  * <p>Load pattern: many rare adapters are asked for at once. Beyond what the store carries, each
- * load takes longer in proportion, so that requests give up before their adapter comes and the
- * load was in vain. The limit follows the times that loads take.
+ * load takes longer in proportion, so that requests give up before their adapter comes and the load
+ * was in vain. The limit follows the times that loads take.
  *
  * <p>Not safe for concurrent use.
  */
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/residency/UseMeter.java
@@ -0,0 +1,59 @@
+package org.fescuehollow.residency;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.fescuehollow.catalog.AdapterKey;
+
+/**
+ * How much of the time the adapters of one engine were in use lately.
+ *
+ * <p>Not safe for concurrent use.
+ */
+final class UseMeter {
+    /** Nodes tell at once which adapters they use; an adapter unused for longer is idle. */
+    private static final long LEAST_IDLE_NANOS = Duration.ofMillis(80).toNanos();
+
+    /** After this time, use counts half; about the time in which demand shifts. */
+    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(8).toNanos();
+
+    private static final long NEVER_NANOS = Duration.ofHours(1).toNanos();
+
+    private final Map<AdapterKey, Long> mLastUse = new HashMap<>();
+    private final Map<AdapterKey, Double> mShares = new HashMap<>();
+    private long mSampledNanos;
+
+    /** Takes that an adapter was used. */
+    void used(AdapterKey adapter, long at) {
+        mLastUse.merge(adapter, at, Math::max);
+    }
+
+    /** Takes which of the adapters on the engine are in use; to be called regularly. */
+    void sample(Collection<AdapterKey> present, Predicate<AdapterKey> inUse, long now) {
+        double decay = Math.pow(0.5, (now - mSampledNanos) / HALF_LIFE_NANOS);
+        mSampledNanos = now;
+        mShares.keySet().retainAll(present);
+        for (AdapterKey a : present) {
+            double use = inUse.test(a) ? 1 : 0;
+            mShares.merge(a, use, (before, u) -> before * decay + u);
+        }
+    }
+
+    /** Tells whether an adapter has been unused for long enough to leave. */
+    boolean isIdle(AdapterKey adapter, long now) {
+        return now - lastUse(adapter, now) >= LEAST_IDLE_NANOS;
+    }
+
+    /** Returns the order in which idle adapters leave: the least used first. */
+    Comparator<AdapterKey> leastUsedFirst(long now) {
+        return Comparator.<AdapterKey>comparingDouble(a -> mShares.getOrDefault(a, 0.0))
+                .thenComparingLong(a -> lastUse(a, now));
+    }
+
+    private long lastUse(AdapterKey adapter, long now) {
+        return mLastUse.getOrDefault(adapter, now - NEVER_NANOS);
+    }
+}
--- a/core/src/test/java/org/fescuehollow/ArchitectureTest.java
+++ b/core/src/test/java/org/fescuehollow/ArchitectureTest.java
@@ -12,10 +12,11 @@
 import org.junit.jupiter.api.Test;
 
 class ArchitectureTest {
+    /** The ready-made option knows the default folders of a build only. */
+    private static final ImportOption NO_TESTS = l -> !l.contains("/test-classes/");
+
     private static final JavaClasses CLASSES =
-            new ClassFileImporter()
-                    .withImportOption(new ImportOption.DoNotIncludeTests())
-                    .importPackages("org.fescuehollow");
+            new ClassFileImporter().withImportOption(NO_TESTS).importPackages("org.fescuehollow");
 
     @Test
     void decisions_knowNoSocketsThreadsOrClocks() {
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -72,8 +72,7 @@
         engines(engine("e1", "north", false), engine("e2", "south", false));
         held("e2", Map.of());
         then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
-                .isEqualTo(
-                        new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
+                .isEqualTo(new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
     }
 
     @Test
@@ -84,8 +83,7 @@
         mResidency.held("e2", "node", new Holding(1, Map.of(), Set.of(ADAPTER), 1, -3), 0);
         // THEN it isn't asked for a second time
         then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 0))
-                .isEqualTo(
-                        new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
+                .isEqualTo(new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
     }
 
     @Test
@@ -141,8 +139,7 @@
         AdapterKey base = new AdapterKey("m", "");
         sent(call(base, 30_000), 0);
         then(mDispatcher.place(call(base, 30_000), Set.of(), 0))
-                .isEqualTo(
-                        new Placement.Wait(Placement.Reason.ENGINES_FULL, Optional.empty()));
+                .isEqualTo(new Placement.Wait(Placement.Reason.ENGINES_FULL, Optional.empty()));
     }
 
     @Test
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -67,9 +67,7 @@
                         new HttpClientOptions()
                                 .setKeepAlive(true)
                                 .setKeepAliveTimeout(CONTROL_IDLE_SECONDS),
-                        new PoolOptions()
-                                .setHttp1MaxSize(CONTROL_CONNECTIONS)
-                                .setEventLoopSize(1));
+                        new PoolOptions().setHttp1MaxSize(CONTROL_CONNECTIONS).setEventLoopSize(1));
         mContext =
                 new NodeContext(
                         vertx,
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -204,8 +204,7 @@
             mContext.node()
                     .metrics()
                     .firstByte(
-                            mCall.needs().service(),
-                            mContext.now() - mCall.needs().arrivedNanos());
+                            mCall.needs().service(), mContext.now() - mCall.needs().arrivedNanos());
             mCall.answer().head(response.statusCode(), response.headers());
         }
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallAnswer.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallAnswer.java
@@ -12,8 +12,8 @@
 /**
  * The answer to one request, towards its caller.
  *
- * <p>Invariant: exactly one answer begins; one that can't be finished ends with a closed connection,
- * so that it doesn't look whole. Used on the node's loop.
+ * <p>Invariant: exactly one answer begins; one that can't be finished ends with a closed
+ * connection, so that it doesn't look whole. Used on the node's loop.
  */
 final class CallAnswer {
     private final CallContext mContext;
@@ -96,9 +96,7 @@
         }
         mResponse.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
         announceClose();
-        mResponse
-                .end("{\"code\":\"" + outcome.code() + "\"}")
-                .onComplete(r -> closeIfLeaving());
+        mResponse.end("{\"code\":\"" + outcome.code() + "\"}").onComplete(r -> closeIfLeaving());
     }
 
     private void closeIfLeaving() {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -71,8 +71,7 @@
 
     static CallNeeds needs(
             CallContext context, Route route, RequestHead head, double draw, long now) {
-        long millis =
-                Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(Long.MAX_VALUE));
+        long millis = Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(Long.MAX_VALUE));
         AdapterKey adapter = head.adapter();
         return new CallNeeds(
                 head.attemptId(),
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -190,8 +190,7 @@
      * @param version the least version that will do; 0 if any
      * @param rank the priority of the request, 0 being the highest
      */
-    public void want(
-            String holder, String engine, AdapterKey adapter, long version, int rank) {
+    public void want(String holder, String engine, AdapterKey adapter, long version, int rank) {
         AdapterWant want =
                 AdapterWant.newBuilder()
                         .setEngine(engine)
--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
@@ -57,7 +57,11 @@
             int colon = text == null ? -1 : text.lastIndexOf(':');
             if (colon <= 0) {
                 throw new IllegalArgumentException(
-                        "expected " + name + " as IP:PORT, got '" + text + "'; correct the setting");
+                        "expected "
+                                + name
+                                + " as IP:PORT, got '"
+                                + text
+                                + "'; correct the setting");
             }
             return new Address(
                     text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -114,15 +114,7 @@
     }
 
     private static EngineState emptyState(Engine e) {
-        return new EngineState(
-                e.startedMillis(),
-                0,
-                0,
-                0,
-                0,
-                e.models(),
-                Map.of(),
-                Map.of());
+        return new EngineState(e.startedMillis(), 0, 0, 0, 0, e.models(), Map.of(), Map.of());
     }
 
     private void hold(long now) {
@@ -141,8 +133,8 @@
     }
 
     /**
-     * Learns the engine's count again; reports are old, so a count stands only if no order was
-     * sent since the report before.
+     * Learns the engine's count again; reports are old, so a count stands only if no order was sent
+     * since the report before.
      */
     private void recount(long now) {
         mReportNanos = now;
@@ -179,8 +171,7 @@
     private void reported(EngineState state) {
         long now = mContext.clock().now();
         boolean sameLife =
-                mEngine.startedMillis() == 0
-                        || state.startedMillis() == mEngine.startedMillis();
+                mEngine.startedMillis() == 0 || state.startedMillis() == mEngine.startedMillis();
         if (sameLife && !mReign.isHolding()) {
             mReign.observe(state.orderCount(), now);
             mReport = Optional.of(state);
@@ -281,12 +272,15 @@
     /** Sends the next order if one is due and none is under way. */
     private void pump() {
         long now = mContext.clock().now();
-        if (mBusy || now < mNotBeforeNanos || mKeeper.isEmpty() || !mReign.mayOrder(mPeers.seenByAll(now), now)) {
+        if (mBusy
+                || now < mNotBeforeNanos
+                || mKeeper.isEmpty()
+                || !mReign.mayOrder(mPeers.seenByAll(now), now)) {
             return;
         }
         AdapterKeeper keeper = mKeeper.orElseThrow();
         used(mDispatcher.ownAdapters(mEngine.id()), now);
-        Optional<AdapterOrder> order = 
+        Optional<AdapterOrder> order =
                 keeper.next(
                         a -> inUse(a, now),
                         a -> mOwner.mayLoad(mEngine.id(), a, now),
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -128,15 +128,13 @@
     }
 
     private Optional<EngineSpec> spec(Engine e) {
-        return mCatalog
-                .configuration()
+        return mCatalog.configuration()
                 .flatMap(c -> c.service(e.service()))
                 .flatMap(ServiceSpec::engine);
     }
 
     private EngineOrders engineOrders(Engine e, EngineSpec spec) {
-        return new EngineOrders(
-                mContext, mControl, mDispatcher, exchange().peers(), e, spec, this);
+        return new EngineOrders(mContext, mControl, mDispatcher, exchange().peers(), e, spec, this);
     }
 
     /** Takes that what an engine of this node holds has changed. */
@@ -184,8 +182,7 @@
 
     /** Tells whether one more load of an adapter may begin. */
     boolean mayLoad(String engine, AdapterKey adapter, long now) {
-        return mResidency.heldLately(engine, adapter)
-                || mTransit.allows(mResidency.inTransit(now));
+        return mResidency.heldLately(engine, adapter) || mTransit.allows(mResidency.inTransit(now));
     }
 
     /** Returns the time that a load from the weight store takes at least, in nanoseconds. */
@@ -207,9 +204,7 @@
 
     /** Finds the other node that says it holds an engine. */
     Optional<String> rival(String engine, long now) {
-        return mResidency
-                .holder(engine, now)
-                .filter(h -> !h.equals(mContext.settings().node()));
+        return mResidency.holder(engine, now).filter(h -> !h.equals(mContext.settings().node()));
     }
 
     /** Takes that other nodes' news changed what is known of residency. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -83,7 +83,12 @@
                         mContext.settings().store().port());
         mOperators =
                 new PrefixWatch(
-                        mContext, store, StoreKeys.OPERATORS, WATCH, Duration.ZERO, this::operators);
+                        mContext,
+                        store,
+                        StoreKeys.OPERATORS,
+                        WATCH,
+                        Duration.ZERO,
+                        this::operators);
         mServers =
                 new PrefixWatch(
                         mContext, store, StoreKeys.ENGINES, WATCH, ENGINE_PAUSE, this::servers);
@@ -143,8 +148,7 @@
         }
         change.items().forEach(i -> serverItem(i, now));
         if (!mMissingSince.isEmpty()) {
-            mContext.vertx()
-                    .setTimer(RETURN_GRACE.toMillis() + 1, t -> dropMissing());
+            mContext.vertx().setTimer(RETURN_GRACE.toMillis() + 1, t -> dropMissing());
         }
         mListener.run();
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -73,9 +73,7 @@
     }
 
     private void readPage(String after) {
-        mStore.range(mPrefix, after)
-                .onSuccess(p -> guarded(() -> read(p)))
-                .onFailure(this::failed);
+        mStore.range(mPrefix, after).onSuccess(p -> guarded(() -> read(p))).onFailure(this::failed);
     }
 
     private void read(StorePage page) {
@@ -132,8 +130,7 @@
         }
         mReading = false;
         mFailureMillis =
-                Math.min(
-                        LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, mFailureMillis * 2));
+                Math.min(LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, mFailureMillis * 2));
         boolean again = cause instanceof StoreException e && e.isHistoryGone() || mRevision < 0;
         if (again) {
             mRevision = -1;
--- a/gateway/src/test/java/org/fescuehollow/gateway/EntryNodeTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/EntryNodeTest.java
@@ -140,8 +140,7 @@
             response.end("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
             return;
         }
-        response.write("id: 1\ndata: a\n\nid: 2\nda")
-                .onComplete(w -> response.reset());
+        response.write("id: 1\ndata: a\n\nid: 2\nda").onComplete(w -> response.reset());
     }
 
     @Test
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -75,8 +75,7 @@
         if (request.path().endsWith("/order")) {
             order(request, body.toJsonObject());
         } else if (request.path().endsWith("/report")) {
-            JsonObject report =
-                    new JsonObject().put("models", models()).put("seq-no", mOrderCount);
+            JsonObject report = new JsonObject().put("models", models()).put("seq-no", mOrderCount);
             request.response().end(report.put("born", 1).encode());
         } else {
             String id = request.getHeader("X-Fescuehollow-Attempt-Id");
@@ -110,10 +109,7 @@
     }
 
     public void refuse(Arrival arrival, HttpServerRequest request) {
-        request.response()
-                .setStatusCode(503)
-                .putHeader("X-Fescuehollow-Not-Executed", "1")
-                .end();
+        request.response().setStatusCode(503).putHeader("X-Fescuehollow-Not-Executed", "1").end();
     }
 
     public void dropConnection(Arrival arrival, HttpServerRequest request) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
@@ -20,6 +20,7 @@
 
 /** A store, servers and entry nodes on loopback addresses. */
 public final class Site implements AutoCloseable {
+    private static final int MOST_NODES = 3;
     private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     private final Vertx mVertx = Vertx.vertx();
@@ -51,11 +52,13 @@
 
     /** Publishes routes for idempotent, once-only and resumable streaming requests. */
     public void configure(long version) {
-        JsonArray routes =
-                new JsonArray()
-                        .add(route("idempotent", "/read/", "plain", 2))
-                        .add(route("non_idempotent", "/pay/", "plain", 1))
-                        .add(route("streaming", "/chat/", "llm", 2).put("resumable", true));
+        JsonArray routes = new JsonArray();
+        for (int i = 1; i <= MOST_NODES; i++) {
+            String host = "127.0.0." + i;
+            routes.add(route(host, "idempotent", "/read/", "plain", 2))
+                    .add(route(host, "non_idempotent", "/pay/", "plain", 1))
+                    .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true));
+        }
         JsonObject engine =
                 new JsonObject()
                         .put("slots", 8)
@@ -81,10 +84,11 @@
                         .encode());
     }
 
-    private static JsonObject route(String type, String prefix, String service, int attempts) {
+    private static JsonObject route(
+            String host, String type, String prefix, String service, int attempts) {
         return new JsonObject()
-                .put("name", "r" + prefix)
-                .put("host", "127.0.0.1")
+                .put("name", host + prefix)
+                .put("host", host)
                 .put("prefix", prefix)
                 .put("type", type)
                 .put("timeout-ms", 20_000)
