Newest wants first, none that can't be loaded in time; failing servers left out

Change: a want carries its patience; the newest goes first within a rank, and a load that can't be done in time doesn't begin. Servers that fail 0.3 of their requests are left out while most do not; a connection that isn't there after 120 ms is tried elsewhere.

--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -66,6 +66,9 @@
     /** What may wait unread for a request that has missed its objective, in milliseconds. */
     private static final double LATE_MILLIS = 150;
 
+    /** A server that failed this share of its requests lately is left out for a while. */
+    private static final double FAILING_SHARE = 0.3;
+
     /** A load that isn't done after this time is asked of another engine. */
     private static final long LOAD_PATIENCE_NANOS = Duration.ofMillis(900).toNanos();
 
@@ -152,12 +155,20 @@
                 all.add(e);
             }
         }
-        List<EngineLoad> open = all.stream().filter(e -> !e.health().isBlocked(now)).toList();
+        List<EngineLoad> reachable = all.stream().filter(e -> !e.health().isBlocked(now)).toList();
+        List<EngineLoad> open = withoutFailing(reachable, now);
         List<EngineLoad> fresh =
                 open.stream().filter(e -> !avoided.contains(e.engine().id())).toList();
         return fresh.isEmpty() ? open : fresh;
     }
 
+    /** Leaves out servers that fail much more than most; if most do, it isn't their fault. */
+    private static List<EngineLoad> withoutFailing(List<EngineLoad> engines, long now) {
+        List<EngineLoad> good =
+                engines.stream().filter(e -> e.health().failureShare(now) < FAILING_SHARE).toList();
+        return good.size() * 2 > engines.size() ? good : engines;
+    }
+
     private boolean holds(EngineLoad e, CallNeeds call, long now) {
         if (!call.needsModel()) {
             return true;
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
@@ -16,7 +16,7 @@
     private static final long FIRST_BLOCK_NANOS = Duration.ofMillis(250).toNanos();
 
     /** The longest such time; below the few seconds that a restart takes. */
-    private static final long LONGEST_BLOCK_NANOS = Duration.ofSeconds(2).toNanos();
+    private static final long LONGEST_BLOCK_NANOS = Duration.ofSeconds(3).toNanos();
 
     /** After this time an old failure counts half. */
     private static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
--- a/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
+++ b/core/src/main/java/org/fescuehollow/residency/AdapterKeeper.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
@@ -35,12 +35,12 @@
     /** Until then a load from the engine's own copy is done. */
     private static final long QUICK_NANOS = Duration.ofMillis(60).toNanos();
 
+    /** An adapter that left to make a reign visible comes back within this time. */
+    private static final long VISIBLE_NANOS = Duration.ofSeconds(2).toNanos();
+
     /** Of the time that loads took, what passes before the next question. */
     private static final double EXPECTED_SHARE = 0.95;
 
-    /** A want that nobody repeats for this long is dropped; nodes repeat theirs more often. */
-    private static final long WANT_NANOS = Duration.ofMillis(400).toNanos();
-
     /** Loads on their way to one engine; engines accept no more at a time. */
     private static final int MOST_COMING = 4;
 
@@ -54,7 +54,7 @@
     private final Optional<String> mModelToLoad;
     private final Map<String, Place> mModels = new HashMap<>();
     private final Map<AdapterKey, Place> mTaken = new HashMap<>();
-    private final Map<AdapterKey, Want> mWants = new LinkedHashMap<>();
+    private final Wants mWants = new Wants();
     private final UseMeter mUses = new UseMeter();
 
     /** What stands in a place. */
@@ -71,9 +71,6 @@
         }
     }
 
-    /** An adapter that requests wait for. */
-    private record Want(long version, int rank, long untilNanos) {}
-
     /**
      * Creates the state of an engine.
      *
@@ -94,14 +91,13 @@
      *
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
-     * @param rank the priority of the most urgent request, 0 being the highest
+     * @param rank the priority of the request, 0 being the highest
+     * @param giveUpNanos when the request gives up, by the monotonic clock
      * @param now the monotonic time in nanoseconds
      */
-    public void want(AdapterKey adapter, long version, int rank, long now) {
+    public void want(AdapterKey adapter, long version, int rank, long giveUpNanos, long now) {
         if (!isPresent(adapter, version)) {
-            Want before = mWants.get(adapter);
-            int best = before == null ? rank : Math.min(rank, before.rank());
-            mWants.put(adapter, new Want(version, best, now + WANT_NANOS));
+            mWants.add(adapter, version, rank, giveUpNanos, now);
         }
     }
 
@@ -130,24 +126,24 @@
      *
      * @param inUse tells whether requests run on an adapter, on any node
      * @param mayLoad tells whether the weight store carries one more load, of this adapter
-     * @param expectedNanos the time that a load from the store takes
+     * @param loadNanos the time that a load of an adapter takes
      * @param now the monotonic time in nanoseconds
      * @return the order, or empty if there is nothing to do now
      */
     public Optional<AdapterOrder> next(
             Predicate<AdapterKey> inUse,
             Predicate<AdapterKey> mayLoad,
-            long expectedNanos,
+            ToLongFunction<AdapterKey> loadNanos,
             long now) {
-        mWants.values().removeIf(w -> w.untilNanos() < now);
+        mWants.drop(now);
         boolean modelComes =
                 mModels.isEmpty()
                         || mModels.values().stream().anyMatch(p -> p.phase() != Phase.PRESENT);
         return modelComes
                 ? model(now)
-                : question(expectedNanos, now)
-                        .or(() -> load(mayLoad))
-                        .or(() -> unload(inUse, mayLoad, now));
+                : question(loadNanos, now)
+                        .or(() -> load(mayLoad, loadNanos, now))
+                        .or(() -> unload(inUse, mayLoad, loadNanos, now));
     }
 
     /** An engine carries out nothing else while it loads a base model. */
@@ -166,10 +162,10 @@
                                         mModels.containsKey(m)));
     }
 
-    private Optional<AdapterOrder> question(long expectedNanos, long now) {
+    private Optional<AdapterOrder> question(ToLongFunction<AdapterKey> loadNanos, long now) {
         return mTaken.entrySet().stream()
                 .filter(e -> e.getValue().phase() != Phase.PRESENT)
-                .filter(e -> mayBeDone(e.getValue(), expectedNanos, now))
+                .filter(e -> mayBeDone(e.getKey(), e.getValue(), loadNanos, now))
                 .min(Comparator.comparingLong(e -> e.getValue().askedNanos()))
                 .map(
                         e ->
@@ -180,12 +176,13 @@
                                         true));
     }
 
-    private static boolean mayBeDone(Place p, long expectedNanos, long now) {
+    private static boolean mayBeDone(
+            AdapterKey adapter, Place p, ToLongFunction<AdapterKey> loadNanos, long now) {
         long age = now - p.sinceNanos();
         boolean plausible =
                 p.phase() == Phase.LEAVING
                         || age < QUICK_NANOS
-                        || age >= expectedNanos * EXPECTED_SHARE;
+                        || age >= loadNanos.applyAsLong(adapter) * EXPECTED_SHARE;
         return plausible && now - p.askedNanos() >= ASK_NANOS;
     }
 
@@ -193,25 +190,23 @@
         return phase == Phase.LEAVING ? AdapterOrder.Action.UNLOAD : AdapterOrder.Action.LOAD;
     }
 
-    private Optional<AdapterOrder> load(Predicate<AdapterKey> mayLoad) {
+    private Optional<AdapterOrder> load(
+            Predicate<AdapterKey> mayLoad, ToLongFunction<AdapterKey> loadNanos, long now) {
         boolean full = mTaken.size() >= mPlaces || count(Phase.COMING) >= MOST_COMING;
-        return mWants.entrySet().stream()
-                .filter(e -> mModels.containsKey(e.getKey().model()))
-                .filter(e -> mTaken.containsKey(e.getKey()) ? isStale(e) : !full)
-                .filter(e -> mayLoad.test(e.getKey()))
-                .min(Comparator.comparingInt(e -> e.getValue().rank()))
+        return mWants.inOrder(loadNanos, now)
+                .filter(w -> mModels.containsKey(w.adapter().model()))
+                .filter(w -> mTaken.containsKey(w.adapter()) ? isStale(w) : !full)
+                .filter(w -> mayLoad.test(w.adapter()))
+                .findFirst()
                 .map(
-                        e ->
+                        w ->
                                 new AdapterOrder(
-                                        AdapterOrder.Action.LOAD,
-                                        e.getKey(),
-                                        e.getValue().version(),
-                                        false));
+                                        AdapterOrder.Action.LOAD, w.adapter(), w.version(), false));
     }
 
-    private boolean isStale(Map.Entry<AdapterKey, Want> want) {
-        Place p = mTaken.get(want.getKey());
-        return p.phase() == Phase.PRESENT && p.version() < want.getValue().version();
+    private boolean isStale(Wants.Want want) {
+        Place p = mTaken.get(want.adapter());
+        return p.phase() == Phase.PRESENT && p.version() < want.version();
     }
 
     private long count(Phase phase) {
@@ -219,9 +214,13 @@
     }
 
     private Optional<AdapterOrder> unload(
-            Predicate<AdapterKey> inUse, Predicate<AdapterKey> mayLoad, long now) {
+            Predicate<AdapterKey> inUse,
+            Predicate<AdapterKey> mayLoad,
+            ToLongFunction<AdapterKey> loadNanos,
+            long now) {
         long wanted =
-                mWants.keySet().stream()
+                mWants.inOrder(loadNanos, now)
+                        .map(Wants.Want::adapter)
                         .filter(a -> !mTaken.containsKey(a) && mayLoad.test(a))
                         .count();
         long room = mPlaces - mTaken.size() + count(Phase.LEAVING);
@@ -229,7 +228,7 @@
             return Optional.empty();
         }
         return idle(inUse, now)
-                .filter(a -> !mWants.containsKey(a))
+                .filter(a -> !mWants.contains(a))
                 .min(mUses.leastUsedFirst(now))
                 .map(a -> new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false));
     }
@@ -270,7 +269,7 @@
                 .min(mUses.leastUsedFirst(now))
                 .map(
                         a -> {
-                            mWants.put(a, new Want(0, 0, now + WANT_NANOS));
+                            mWants.add(a, 0, 0, now + VISIBLE_NANOS, now);
                             return new AdapterOrder(AdapterOrder.Action.UNLOAD, a, 0, false);
                         });
     }
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -163,6 +163,28 @@
                 .isInstanceOf(Placement.Send.class);
     }
 
+    @Test
+    void place_asksAnotherEngineForAnAdapterThatAFailingOneHas() {
+        // GIVEN an engine that fails most requests while its health answers are good
+        engines(
+                engine("e1", "north", false),
+                engine("e2", "north", false),
+                engine("e3", "north", false));
+        held("e1", Map.of(ADAPTER, 1L));
+        held("e2", Map.of());
+        for (int i = 0; i < 4; i++) {
+            mDispatcher.health("e1").orElseThrow().failed(0);
+        }
+        // THEN its adapter is loaded elsewhere
+        then(mDispatcher.place(call(ADAPTER, 100), Set.of(), 1))
+                .isEqualTo(new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, Optional.of("e2")));
+        // AND after some time it is tried again
+        then(mDispatcher.place(call(ADAPTER, 100), Set.of(), SECOND / 2))
+                .isInstanceOf(Placement.Wait.class);
+        then(mDispatcher.place(call(new AdapterKey("m", ""), 100), Set.of("e2", "e3"), 9 * SECOND))
+                .isEqualTo(new Placement.Send("e1", Optional.empty()));
+    }
+
     @Test
     void place_prefersServersThatDoNotFail() {
         engines(engine("e1", "north", false), engine("e2", "south", false));
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -23,8 +23,11 @@
  * node's loop.
  */
 final class Attempt {
-    /** The longest time for a connection: a few times the way to the farthest domain. */
-    private static final long CONNECT_MILLIS = 250;
+    /**
+     * The longest time for a connection: many times the way to the farthest domain, yet short
+     * enough to meet a plain service's objective elsewhere when a domain is cut off.
+     */
+    private static final long CONNECT_MILLIS = 120;
 
     private static final int SERVER_ERROR = 500;
     private static final int SUCCESS = 200;
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -168,7 +168,9 @@
     }
 
     private void want(String engine) {
-        mContext.orders().want(engine, mNeeds.adapter(), mNeeds.version(), mNeeds.rank());
+        long waited = Duration.ofNanos(mContext.now() - mNeeds.arrivedNanos()).toMillis();
+        long patience = Math.max(0, longestWaitMillis() - waited);
+        mContext.orders().want(engine, mNeeds.adapter(), mNeeds.version(), mNeeds.rank(), patience);
     }
 
     private boolean send(Engine engine, long now) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -189,13 +189,21 @@
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
      * @param rank the priority of the request, 0 being the highest
+     * @param patienceMillis how much longer the request waits
      */
-    public void want(String holder, String engine, AdapterKey adapter, long version, int rank) {
+    public void want(
+            String holder,
+            String engine,
+            AdapterKey adapter,
+            long version,
+            int rank,
+            long patienceMillis) {
         AdapterWant want =
                 AdapterWant.newBuilder()
                         .setEngine(engine)
                         .setAdapter(NewsCodec.adapter(adapter, version))
                         .setRank(rank)
+                        .setPatienceMs((int) patienceMillis)
                         .build();
         byte[] news = news().addWants(want).build().toByteArray();
         mPeers.find(holder).ifPresent(p -> send(news, p.ip()));
@@ -280,7 +288,8 @@
                                         w.getEngine(),
                                         NewsCodec.key(w.getAdapter()),
                                         w.getAdapter().getVersion(),
-                                        w.getRank()));
+                                        w.getRank(),
+                                        w.getPatienceMs()));
     }
 
     private void takeWork(NodeNews news, long now) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineOrders.java
@@ -234,8 +234,8 @@
         }
     }
 
-    void want(AdapterKey adapter, long version, int rank, long now) {
-        mKeeper.ifPresent(k -> k.want(adapter, version, rank, now));
+    void want(AdapterKey adapter, long version, int rank, long giveUpNanos, long now) {
+        mKeeper.ifPresent(k -> k.want(adapter, version, rank, giveUpNanos, now));
         pump();
     }
 
@@ -284,7 +284,7 @@
                 keeper.next(
                         a -> inUse(a, now),
                         a -> mOwner.mayLoad(mEngine.id(), a, now),
-                        mOwner.loadNanos(),
+                        a -> mOwner.loadNanos(mEngine.id(), a),
                         now);
         if (order.isEmpty() && mReign.needsVisibleOrder(now)) {
             order = keeper.visibleOrder(a -> inUse(a, now), now);
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.orders;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,9 @@
     /** Between looks at engines that nothing happens to. */
     private static final long TICK_MILLIS = 100;
 
+    /** An engine loads an adapter from its own copy this many times faster. */
+    private static final int COPY_TIMES = 10;
+
     /** A want is told to its holder again after this time; a datagram may be lost. */
     private static final long WANT_AGAIN_NANOS = 120_000_000L;
 
@@ -185,9 +189,10 @@
         return mResidency.heldLately(engine, adapter) || mTransit.allows(mResidency.inTransit(now));
     }
 
-    /** Returns the time that a load from the weight store takes at least, in nanoseconds. */
-    long loadNanos() {
-        return mTransit.loadNanos();
+    /** Returns the time that a load takes at least, in nanoseconds. */
+    long loadNanos(String engine, AdapterKey adapter) {
+        long store = mTransit.loadNanos();
+        return mResidency.heldLately(engine, adapter) ? store / COPY_TIMES : store;
     }
 
     /** Counts the loads that come from the weight store rather than from the engine's copies. */
@@ -241,12 +246,15 @@
      * @param adapter the adapter
      * @param version the least version that will do; 0 if any
      * @param rank the priority of the request, 0 being the highest
+     * @param patienceMillis how much longer the request waits
      */
-    public void want(String engine, AdapterKey adapter, long version, int rank) {
+    public void want(
+            String engine, AdapterKey adapter, long version, int rank, long patienceMillis) {
         long now = mContext.clock().now();
         EngineOrders own = mEngines.get(engine);
         if (own != null && own.isHolding()) {
-            own.want(adapter, version, rank, now);
+            long giveUp = now + Duration.ofMillis(patienceMillis).toNanos();
+            own.want(adapter, version, rank, giveUp, now);
             return;
         }
         String key = engine + ' ' + adapter;
@@ -257,7 +265,7 @@
                 .ifPresent(
                         h -> {
                             mTold.put(key, now);
-                            exchange().want(h, engine, adapter, version, rank);
+                            exchange().want(h, engine, adapter, version, rank, patienceMillis);
                         });
     }
 
