Log lines and metrics tell when the store was asked and how long it was silent

store_lost now has the age of the call and of the last answer, and store_regained the length of the silence and the calls sent meanwhile. Failed calls are counted, and the metrics show the age of the last answer for each prefix and the version in force. To have these in one place, the timing of calls moved from PrefixWatch to WatchPacing in core; waits and pauses are as before, but a failed page starts from the first one only until the prefix was read whole.

--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -9,6 +9,7 @@
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Configuration;
 import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.WatchPacing;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
@@ -30,8 +31,8 @@
     /** The name under which other services find this one. */
     public static final String NAME = "catalog";
 
-    /** A lost watch is noticed within this time and the answer's. */
-    private static final Duration WATCH = Duration.ofSeconds(5);
+    /** Between two updates of the gauges. */
+    private static final long STATE_MILLIS = 1_000;
 
     /** Between looks at the engines, whose entries change often; calls are priced. */
     private static final Duration ENGINE_PAUSE = Duration.ofMillis(700);
@@ -81,19 +82,26 @@
                         mContext.control(),
                         mContext.settings().store().host(),
                         mContext.settings().store().port());
+        long now = mContext.clock().now();
         mOperators =
                 new PrefixWatch(
                         mContext,
                         store,
                         StoreKeys.OPERATORS,
-                        WATCH,
+                        new WatchPacing(WatchPacing.LONGEST_WAIT, now),
                         Duration.ZERO,
                         this::operators);
         mServers =
                 new PrefixWatch(
-                        mContext, store, StoreKeys.ENGINES, WATCH, ENGINE_PAUSE, this::servers);
+                        mContext,
+                        store,
+                        StoreKeys.ENGINES,
+                        new WatchPacing(WatchPacing.LONGEST_WAIT, now),
+                        ENGINE_PAUSE,
+                        this::servers);
         mContext.vertx().runOnContext(v -> mOperators.start());
         mContext.vertx().runOnContext(v -> mServers.start());
+        mContext.vertx().setPeriodic(STATE_MILLIS, t -> state());
     }
 
     @Override
@@ -102,6 +110,14 @@
         mServers.stop();
     }
 
+    private void state() {
+        long now = mContext.clock().now();
+        mContext.metrics().state("operators_silence_ms", mOperators.silence(now).toMillis());
+        mContext.metrics().state("engines_silence_ms", mServers.silence(now).toMillis());
+        mContext.metrics()
+                .state("configuration", mConfiguration.map(Configuration::version).orElse(-1L));
+    }
+
     private void operators(PrefixWatch.Change change) {
         change.items().forEach(this::operatorItem);
         mListener.run();
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.fescuehollow.catalog.WatchPacing;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.platform.StoreClient;
 import org.fescuehollow.platform.StoreException;
@@ -13,28 +14,24 @@
 /**
  * Reads everything under a prefix of the store, then follows its changes.
  *
- * <p>Invariant: one call at a time; a failed call is repeated after a pause that doubles. Used on
- * the node's loop.
+ * <p>Invariant: an answer counts only if no other one came since its call was sent, so changes are
+ * told in order. Used on the node's loop.
  */
 final class PrefixWatch {
-    /** The first pause after a failure. */
-    private static final long FIRST_PAUSE_MILLIS = 100;
-
-    /** The longest pause; a change has to be in force within two seconds of the store's return. */
-    private static final long LONGEST_PAUSE_MILLIS = 800;
-
     private final NodeContext mContext;
     private final StoreClient mStore;
     private final String mPrefix;
-    private final Duration mWait;
     private final Duration mPause;
+    private final WatchPacing mPacing;
     private final Consumer<Change> mListener;
     private List<StoreItem> mPages = new ArrayList<>();
+    private boolean mFollowing;
     private long mRevision = -1;
-    private long mFailureMillis;
     private long mReadingSince = Long.MIN_VALUE;
     private boolean mReading;
+    private boolean mLost;
     private boolean mStopped;
+    private long mTimer = -1;
 
     /** What was read: everything, or what has changed. */
     record Change(boolean whole, List<StoreItem> items) {}
@@ -43,19 +40,19 @@
             NodeContext context,
             StoreClient store,
             String prefix,
-            Duration wait,
+            WatchPacing pacing,
             Duration pause,
             Consumer<Change> listener) {
         mContext = context;
         mStore = store;
         mPrefix = prefix;
-        mWait = wait;
+        mPacing = pacing;
         mPause = pause;
         mListener = listener;
     }
 
     void start() {
-        readPage("");
+        arm();
     }
 
     void stop() {
@@ -72,81 +69,130 @@
         return mReading && now - mReadingSince >= time.toNanos();
     }
 
-    private void readPage(String after) {
-        mStore.range(mPrefix, after).onSuccess(p -> guarded(() -> read(p))).onFailure(this::failed);
+    /** Returns how long ago the store last answered. */
+    Duration silence(long now) {
+        return mPacing.silence(now);
     }
 
-    private void read(StorePage page) {
-        answered();
-        mPages.addAll(page.items());
-        // Pages are no snapshot: changes since the first one are followed.
-        mRevision = mRevision < 0 ? page.revision() : mRevision;
-        if (page.truncated() && !page.items().isEmpty()) {
-            readPage(page.items().get(page.items().size() - 1).key());
+    private void arm() {
+        mContext.vertx().cancelTimer(mTimer);
+        long due = mPacing.dueNanos();
+        if (mStopped || due == Long.MAX_VALUE) {
             return;
         }
-        Change all = new Change(true, mPages);
-        mPages = new ArrayList<>();
-        mListener.accept(all);
-        later(mPause.toMillis(), this::watch);
+        long millis = Duration.ofNanos(due - mContext.clock().now()).toMillis();
+        mTimer = mContext.vertx().setTimer(Math.max(1, millis), t -> send());
+    }
+
+    private void send() {
+        WatchPacing.Call call = mPacing.send(mContext.clock().now());
+        if (mFollowing) {
+            mStore.watch(mPrefix, mRevision, call.waitMillis(), call.limitMillis())
+                    .onSuccess(p -> guarded(call, () -> changed(call, p)))
+                    .onFailure(e -> failed(call, e));
+        } else {
+            String after = mPages.isEmpty() ? "" : mPages.get(mPages.size() - 1).key();
+            mStore.range(mPrefix, after, call.limitMillis())
+                    .onSuccess(p -> guarded(call, () -> read(call, p)))
+                    .onFailure(e -> failed(call, e));
+        }
+        arm();
     }
 
-    private void watch() {
-        mStore.watch(mPrefix, mRevision, mWait.toMillis())
-                .onSuccess(p -> guarded(() -> changed(p)))
-                .onFailure(this::failed);
+    private void read(WatchPacing.Call call, StorePage page) {
+        boolean more = page.truncated() && !page.items().isEmpty();
+        if (!answered(call, more ? Duration.ZERO : mPause)) {
+            return;
+        }
+        mPages.addAll(page.items());
+        // Pages are no snapshot: changes since the first one are followed.
+        mRevision = mRevision < 0 ? page.revision() : mRevision;
+        if (!more) {
+            Change all = new Change(true, mPages);
+            mPages = new ArrayList<>();
+            mFollowing = true;
+            mListener.accept(all);
+        }
     }
 
-    private void changed(StorePage page) {
-        answered();
+    private void changed(WatchPacing.Call call, StorePage page) {
+        if (!answered(call, page.items().isEmpty() ? Duration.ZERO : mPause)) {
+            return;
+        }
         mRevision = Math.max(mRevision, page.revision());
         if (!page.items().isEmpty()) {
             mListener.accept(new Change(false, page.items()));
         }
-        later(page.items().isEmpty() ? 0 : mPause.toMillis(), this::watch);
     }
 
-    private void guarded(Runnable action) {
+    private void guarded(WatchPacing.Call call, Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
-            failed(e);
+            failed(call, e);
         }
     }
 
-    private void answered() {
-        mFailureMillis = 0;
+    private boolean answered(WatchPacing.Call call, Duration pause) {
+        long now = mContext.clock().now();
+        int calls = mPacing.unanswered();
+        long silent = mPacing.silence(now).toMillis();
+        if (!mPacing.answered(call.number(), pause, now)) {
+            return false;
+        }
         if (!mReading) {
             mReading = true;
-            mReadingSince = mContext.clock().now();
-            mContext.log().line("store_regained", "prefix", mPrefix, "revision", mRevision);
+            mReadingSince = now;
+            mContext.log()
+                    .line(
+                            "store_regained",
+                            "prefix",
+                            mPrefix,
+                            "revision",
+                            mRevision,
+                            "silent_ms",
+                            silent,
+                            "calls",
+                            calls);
         }
+        mLost = false;
+        arm();
+        return true;
     }
 
-    private void failed(Throwable cause) {
-        if (mReading || mFailureMillis == 0) {
-            mContext.metrics().event("store_lost");
-            mContext.log().line("store_lost", "prefix", mPrefix, "cause", cause);
+    private void failed(WatchPacing.Call call, Throwable cause) {
+        long now = mContext.clock().now();
+        if (!mPacing.failed(call.number(), now)) {
+            return;
         }
-        mReading = false;
-        mFailureMillis =
-                Math.min(LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, mFailureMillis * 2));
-        boolean again = cause instanceof StoreException e && e.isHistoryGone() || mRevision < 0;
-        if (again) {
+        mContext.metrics().event("store_call_failed");
+        lost(cause, now);
+        boolean historyGone = cause instanceof StoreException e && e.isHistoryGone();
+        if (historyGone || !mFollowing) {
+            mFollowing = false;
             mRevision = -1;
             mPages = new ArrayList<>();
         }
-        later(mFailureMillis, again ? this::start : this::watch);
+        arm();
     }
 
-    private void later(long millis, Runnable action) {
-        if (mStopped) {
+    private void lost(Throwable cause, long now) {
+        mReading = false;
+        if (mLost) {
             return;
         }
-        if (millis <= 0) {
-            mContext.vertx().runOnContext(v -> action.run());
-        } else {
-            mContext.vertx().setTimer(millis, t -> action.run());
-        }
+        mLost = true;
+        mContext.metrics().event("store_lost");
+        mContext.log()
+                .line(
+                        "store_lost",
+                        "prefix",
+                        mPrefix,
+                        "call_ms",
+                        mPacing.callAge(now).toMillis(),
+                        "silent_ms",
+                        mPacing.silence(now).toMillis(),
+                        "cause",
+                        cause);
     }
 }
