A call that the store does not answer in time is overtaken by another

Cause: a watch waited 5 s for a change and 1.5 s more for its answer, and nothing else was asked meanwhile. A call that was open when the store fell silent, or that was sent while it was, held the node for 6.5 s, whatever the store did then; two such calls followed each other. The class: the detection of a lost answer takes longer than the bound that the answer has to meet.

A watch now waits for half of the platform's settling time, an answer is overdue after a sixth of it more, and an overdue call is overtaken by one that is sent on a new connection and asks to be answered at once. Overtaken calls stay open for a slow store. So the next answer comes within two thirds of the settling time after the store's return: 2.0 s of 3 s. The settling time is read from the settings. Calls to the store no longer use kept connections, which may have fallen silent as well. A history that is gone is an answer, and is followed by a new read at once.

--- a/core/src/main/java/org/fescuehollow/catalog/WatchPacing.java
+++ b/core/src/main/java/org/fescuehollow/catalog/WatchPacing.java
@@ -1,33 +1,44 @@
 package org.fescuehollow.catalog;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * Decides when a prefix of the store is asked again, and for how long a call may wait.
  *
- * <p>Invariants: one call at a time; a failed call is repeated after a pause that doubles. Not safe
- * for concurrent use.
+ * <p>Answers a store that falls silent and returns without closing connections: a call that is
+ * overdue is overtaken by another, which is to be sent on a new connection and to be answered at
+ * once. Calls that were overtaken stay open, as a slow store may still answer them.
+ *
+ * <p>Invariants: after the store's return the next answer comes within two thirds of the settling
+ * time, whenever calls were sent before; an answer counts only if no other one came since its call
+ * was sent. Not safe for concurrent use.
  */
 public final class WatchPacing {
-    /** How long the store may wait for a change. */
-    public static final Duration LONGEST_WAIT = Duration.ofSeconds(5);
+    /** How long a call stays open beyond its wait; a slow store answers within some 100 ms. */
+    private static final Duration ANSWER = Duration.ofSeconds(3);
+
+    /** Before a call is repeated that failed at once. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
 
-    /** The longest time for an answer beyond a watch's wait: some times a slow store's answer. */
-    private static final Duration ANSWER = Duration.ofMillis(1_500);
+    /** The part of the settling time for which the store may wait for a change. */
+    private static final int WAIT_PART = 2;
 
-    /** The first pause after a failure. */
-    private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+    /** The part of the settling time after which an answer is overdue. */
+    private static final int SILENCE_PART = 6;
 
-    /** The longest pause; a change has to be in force within two seconds of the store's return. */
-    private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
+    /** Shorter settling times would ask a healthy store several times a second. */
+    private static final Duration LEAST_SETTLING = Duration.ofSeconds(1);
 
     private final Duration mWait;
-    private Duration mPause = Duration.ZERO;
+    private final Duration mSilence;
+    private final Set<Long> mOpen = new HashSet<>();
+    private boolean mLost;
     private long mDueNanos;
     private long mSentNanos;
     private long mAnsweredNanos;
     private int mUnanswered;
-    private long mOpen = -1;
     private long mNumber;
 
     /**
@@ -42,22 +53,34 @@
     /**
      * Creates a pacing; the first call is due at once.
      *
-     * @param wait how long the store may wait for a change
+     * @param settling the time from the store's return until its news has to be in force; at least
+     *     a second
      * @param now the monotonic time in nanoseconds
      */
-    public WatchPacing(Duration wait, long now) {
-        mWait = wait;
+    public WatchPacing(Duration settling, long now) {
+        Duration time = settling.compareTo(LEAST_SETTLING) < 0 ? LEAST_SETTLING : settling;
+        mWait = time.dividedBy(WAIT_PART);
+        mSilence = time.dividedBy(SILENCE_PART);
         mDueNanos = now;
         mAnsweredNanos = now;
     }
 
     /**
-     * Returns when the next call is due.
+     * Returns when the next call is due, unless an answer comes before.
      *
-     * @return the monotonic time in nanoseconds; {@link Long#MAX_VALUE} while a call is open
+     * @return the monotonic time in nanoseconds
      */
     public long dueNanos() {
-        return mOpen >= 0 ? Long.MAX_VALUE : mDueNanos;
+        return mDueNanos;
+    }
+
+    /**
+     * Tells whether the call that is due overtakes one that was not answered in time.
+     *
+     * @return true while calls are open
+     */
+    public boolean isOverdue() {
+        return !mOpen.isEmpty();
     }
 
     /**
@@ -67,10 +90,14 @@
      * @return the call
      */
     public Call send(long now) {
-        mOpen = mNumber++;
+        mLost |= isOverdue();
+        Duration wait = mLost ? Duration.ZERO : mWait;
+        long number = mNumber++;
+        mOpen.add(number);
         mSentNanos = now;
+        mDueNanos = now + wait.plus(mSilence).toNanos();
         mUnanswered++;
-        return new Call(mOpen, mWait.toMillis(), mWait.plus(ANSWER).toMillis());
+        return new Call(number, wait.toMillis(), wait.plus(ANSWER).toMillis());
     }
 
     /**
@@ -82,12 +109,12 @@
      * @return false if the answer is of a call that no longer counts
      */
     public boolean answered(long number, Duration pause, long now) {
-        if (number != mOpen) {
+        if (!mOpen.contains(number)) {
             return false;
         }
-        mOpen = -1;
+        mOpen.clear();
+        mLost = false;
         mUnanswered = 0;
-        mPause = Duration.ZERO;
         mAnsweredNanos = now;
         mDueNanos = now + pause.toNanos();
         return true;
@@ -101,14 +128,12 @@
      * @return false if the call no longer counts
      */
     public boolean failed(long number, long now) {
-        if (number != mOpen) {
+        if (!mOpen.remove(number)) {
             return false;
         }
-        mOpen = -1;
-        Duration doubled = mPause.multipliedBy(2);
-        mPause = doubled.compareTo(FIRST_PAUSE) < 0 ? FIRST_PAUSE : doubled;
-        mPause = mPause.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : mPause;
-        mDueNanos = now + mPause.toNanos();
+        mLost = true;
+        long again = Math.max(now + PAUSE.toNanos(), mSentNanos + mSilence.toNanos());
+        mDueNanos = Math.min(mDueNanos, again);
         return true;
     }
 
--- a/core/src/test/java/org/fescuehollow/catalog/StoreOutageReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/StoreOutageReplayTest.java
@@ -47,16 +47,12 @@
 
     /** Returns when the change is known, in milliseconds. */
     private static long knownAt(Outage outage, int phase, int returned, int changed) {
-        WatchPacing pacing =
-                new WatchPacing(WatchPacing.LONGEST_WAIT, Duration.ofMillis(phase).toNanos());
+        WatchPacing pacing = new WatchPacing(Duration.ofMillis(STABLE_MILLIS), nanos(phase));
         List<Event> events = new ArrayList<>();
         long t = phase;
         while (true) {
             Event next = events.stream().min(Comparator.comparing(Event::at)).orElse(null);
-            long due =
-                    pacing.dueNanos() == Long.MAX_VALUE
-                            ? Long.MAX_VALUE
-                            : Duration.ofNanos(pacing.dueNanos()).toMillis();
+            long due = Duration.ofNanos(pacing.dueNanos()).toMillis();
             if (next != null && next.at() <= due) {
                 t = next.at();
                 events.remove(next);
--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeContext.java
@@ -11,7 +11,8 @@
  * <p>All decisions are taken on the one event loop of the Vert.x instance.
  *
  * @param vertx the Vert.x instance, with one event loop
- * @param once the HTTP client for requests that may run only once; it opens a connection for each
+ * @param once the HTTP client for requests that may run only once, and for calls that must not wait
+ *     on a kept connection that has fallen silent; it opens a connection for each
  * @param repeatable the HTTP client for requests that may be repeated; it keeps connections
  * @param control the HTTP client for calls of this system's own, which may be repeated; it keeps
  *     connections
--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
@@ -21,6 +21,7 @@
  * @param exchangePort the UDP port on which entry nodes talk, the same on all
  * @param seeds IP numbers of some entry nodes
  * @param store the address of the platform's store
+ * @param settlingMillis the time from the store's return until its news has to be in force
  * @param leaseMillis the time within which two nodes must not give orders to one engine
  * @param retryRatio repeats allowed for each request, over all nodes
  * @param retrySlack repeats allowed besides
@@ -37,6 +38,7 @@
         int exchangePort,
         List<String> seeds,
         Address store,
+        long settlingMillis,
         long leaseMillis,
         double retryRatio,
         double retrySlack,
@@ -103,6 +105,7 @@
                 o.getJsonArray("exchangePorts").getInteger(0),
                 seeds.stream().map(s -> Address.parse("seeds", (String) s).host()).toList(),
                 Address.parse("store", o.getString("store")),
+                bounds.getNumber("settlingMillis", 3_000).longValue(),
                 bounds.getNumber("leaseMillis", 3_000).longValue(),
                 bounds.getNumber("retryRatio", 0.1).doubleValue(),
                 bounds.getNumber("retrySlack", 10).doubleValue(),
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -79,16 +79,17 @@
     public void start(Kernel kernel) {
         StoreClient store =
                 new StoreClient(
-                        mContext.control(),
+                        mContext.once(),
                         mContext.settings().store().host(),
                         mContext.settings().store().port());
         long now = mContext.clock().now();
+        Duration settling = Duration.ofMillis(mContext.settings().settlingMillis());
         mOperators =
                 new PrefixWatch(
                         mContext,
                         store,
                         StoreKeys.OPERATORS,
-                        new WatchPacing(WatchPacing.LONGEST_WAIT, now),
+                        new WatchPacing(settling, now),
                         Duration.ZERO,
                         this::operators);
         mServers =
@@ -96,7 +97,7 @@
                         mContext,
                         store,
                         StoreKeys.ENGINES,
-                        new WatchPacing(WatchPacing.LONGEST_WAIT, now),
+                        new WatchPacing(settling, now),
                         ENGINE_PAUSE,
                         this::servers);
         mContext.vertx().runOnContext(v -> mOperators.start());
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -76,16 +76,19 @@
 
     private void arm() {
         mContext.vertx().cancelTimer(mTimer);
-        long due = mPacing.dueNanos();
-        if (mStopped || due == Long.MAX_VALUE) {
+        if (mStopped) {
             return;
         }
-        long millis = Duration.ofNanos(due - mContext.clock().now()).toMillis();
+        long millis = Duration.ofNanos(mPacing.dueNanos() - mContext.clock().now()).toMillis();
         mTimer = mContext.vertx().setTimer(Math.max(1, millis), t -> send());
     }
 
     private void send() {
-        WatchPacing.Call call = mPacing.send(mContext.clock().now());
+        long now = mContext.clock().now();
+        if (mPacing.isOverdue()) {
+            lost("no answer in time", now);
+        }
+        WatchPacing.Call call = mPacing.send(now);
         if (mFollowing) {
             mStore.watch(mPrefix, mRevision, call.waitMillis(), call.limitMillis())
                     .onSuccess(p -> guarded(call, () -> changed(call, p)))
@@ -162,21 +165,28 @@
 
     private void failed(WatchPacing.Call call, Throwable cause) {
         long now = mContext.clock().now();
+        if (cause instanceof StoreException e && e.isHistoryGone()) {
+            readAgain(call);
+            return;
+        }
         if (!mPacing.failed(call.number(), now)) {
             return;
         }
         mContext.metrics().event("store_call_failed");
         lost(cause, now);
-        boolean historyGone = cause instanceof StoreException e && e.isHistoryGone();
-        if (historyGone || !mFollowing) {
+        arm();
+    }
+
+    private void readAgain(WatchPacing.Call call) {
+        if (answered(call, Duration.ZERO)) {
+            mContext.log().line("store_history_gone", "prefix", mPrefix, "revision", mRevision);
             mFollowing = false;
             mRevision = -1;
             mPages = new ArrayList<>();
         }
-        arm();
     }
 
-    private void lost(Throwable cause, long now) {
+    private void lost(Object cause, long now) {
         mReading = false;
         if (mLost) {
             return;
