An event or answer without an end no longer fills the node's memory

A server in trouble may send bytes that are no answer until its caller closes. A resumable stream collected an event without an end, and a plain service's answer was collected whole, whatever its length: callers waited until their deadline while the process grew towards its limit.

A stream now breaks off at an event beyond 256 kB, and a longer plain answer is passed on as it comes, with the caller's pace; one that has begun is not sent elsewhere, as nothing may come twice.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -32,6 +32,9 @@
      */
     private static final long CONNECT_MILLIS = 120;
 
+    /** A longer answer is passed on as it comes, without the chance of another attempt. */
+    private static final int HELD_BYTES = 256 * 1024;
+
     private static final int SERVER_ERROR = 500;
     private static final int SUCCESS = 200;
     private static final int REDIRECT = 300;
@@ -186,13 +189,44 @@
         mCall.answering(mEngine);
         if (mCall.route().kind() == RouteKind.STREAM && head.status() == SUCCESS) {
             if (mCall.route().resumable()) {
-                response.handler(b -> relay(response, mCall.events().feed(b)));
+                response.handler(b -> relayEvents(response, b));
             } else {
                 response.handler(b -> relay(response, b));
             }
             response.endHandler(v -> streamEnded(response));
         } else {
-            response.body().onSuccess(b -> wholeAnswer(response, b)).onFailure(this::broken);
+            Buffer held = Buffer.buffer();
+            response.handler(b -> hold(response, held, b));
+            response.endHandler(v -> heldAnswerEnded(response, held));
+        }
+    }
+
+    private void hold(HttpClientResponse response, Buffer held, Buffer data) {
+        if (mEnded) {
+            return;
+        }
+        if (mCall.answer().hasBegun()) {
+            relay(response, data);
+            return;
+        }
+        held.appendBuffer(data);
+        if (held.length() > HELD_BYTES) {
+            relay(response, held);
+        }
+    }
+
+    private void heldAnswerEnded(HttpClientResponse response, Buffer held) {
+        if (mCall.answer().hasBegun()) {
+            streamEnded(response);
+        } else {
+            wholeAnswer(response, held);
+        }
+    }
+
+    private void relayEvents(HttpClientResponse response, Buffer data) {
+        relay(response, mCall.events().feed(data));
+        if (mCall.events().isPartialEventTooLong()) {
+            broken(new IllegalStateException("event beyond the longest"));
         }
     }
 
@@ -227,7 +261,8 @@
             return;
         }
         end();
-        health().ifPresent(h -> h.succeeded(mContext.now()));
+        boolean failed = response.statusCode() >= SERVER_ERROR;
+        health().ifPresent(h -> note(h, failed, mContext.now()));
         beginAnswer(response);
         mCall.answer().end();
         mCall.delivered(mEngine, response.statusCode());
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -240,7 +240,8 @@
     void lost(Engine engine, String cause) {
         attemptEnded(engine, cause);
         mMayHaveRun = true;
-        if (canRunAgain()) {
+        boolean goesOn = !mAnswer.hasBegun() || mRoute.resumable();
+        if (goesOn && canRunAgain()) {
             mAvoided.add(engine.id());
             mEvents.dropPartialEvent();
             placeOrWait();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/EventSplitter.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/EventSplitter.java
@@ -11,6 +11,9 @@
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
+    /** Many times an event of some tokens; more without an end is no event. */
+    private static final int LONGEST_EVENT_BYTES = 256 * 1024;
+
     private Buffer mRest = Buffer.buffer();
     private String mLastId = "";
 
@@ -58,6 +61,11 @@
         return mRest.length() > 0;
     }
 
+    /** Tells whether bytes come that make no event. */
+    boolean isPartialEventTooLong() {
+        return mRest.length() > LONGEST_EVENT_BYTES;
+    }
+
     /** Returns the id of the last whole event; empty if there was none. */
     String lastId() {
         return mLastId;
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -37,20 +37,31 @@
     }
 
     public String entry() {
+        return entry(mService, mServer.actualPort(), models());
+    }
+
+    static String entry(String service, int port, JsonArray models) {
         return new JsonObject()
-                .put("service", mService)
-                .put("address", "127.0.0.1:" + mServer.actualPort())
+                .put("service", service)
+                .put("address", "127.0.0.1:" + port)
                 .put("zone", "north")
                 .put("slots", 8)
                 .put("state", "ready")
                 .put("seq-no", 0)
                 .put("born", 1)
-                .put("models", models())
+                .put("models", models)
                 .encode();
     }
 
     private JsonArray models() {
-        JsonArray adapters = new JsonArray(mAdapters.stream().map(a -> a + "@1").toList());
+        return models(new JsonArray(mAdapters.stream().map(a -> a + "@1").toList()));
+    }
+
+    static JsonArray baseModel() {
+        return models(new JsonArray());
+    }
+
+    private static JsonArray models(JsonArray adapters) {
         return new JsonArray()
                 .add(new JsonObject().put("name", "m").put("version", 1).put("adapters", adapters));
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
@@ -55,6 +55,15 @@
         return server;
     }
 
+    /** Registers a server that sends bytes without end. */
+    public EndlessServer endlessServer(String id, String service, String begin) {
+        EndlessServer server = new EndlessServer(mVertx, begin);
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModel()));
+        return server;
+    }
+
     /** Publishes routes for idempotent, once-only and resumable streaming requests. */
     public void configure(long version) {
         JsonArray routes = new JsonArray();
@@ -142,12 +151,26 @@
                         .header("X-Fescuehollow-Deadline-Ms", String.valueOf(LONG_MILLIS))
                         .POST(HttpRequest.BodyPublishers.ofString(body));
         if (path.startsWith("/chat/")) {
-            request.header("X-Fescuehollow-Model", "m/a1")
-                    .header("X-Fescuehollow-Token-Usage", "100,10");
+            forModel(request, "m/a1");
         }
         return send(node, mCallersPort, request, path);
     }
 
+    /** Sends a request for a model, without an adapter, to the first node. */
+    public HttpResponse<String> callModel(String model, String id) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder()
+                        .header("X-Fescuehollow-Attempt-Id", id)
+                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(LONG_MILLIS))
+                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        return send(0, mCallersPort, forModel(request, model), "/chat/");
+    }
+
+    private static HttpRequest.Builder forModel(HttpRequest.Builder request, String model) {
+        return request.header("X-Fescuehollow-Model", model)
+                .header("X-Fescuehollow-Token-Usage", "100,10");
+    }
+
     private HttpResponse<String> send(
             int node, int port, HttpRequest.Builder request, String path) {
         URI uri = URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
