--- a/gateway/src/test/java/org/fescuehollow/gateway/EndlessAnswerTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/EndlessAnswerTest.java
@@ -72,4 +72,14 @@
                 .isInstanceOfAny(IllegalStateException.class, AssertionError.class);
         Site.await(() -> server.closed() > 0);
     }
+
+    @Test
+    void report_withoutEndHarmsNoOtherEngine() {
+        String begin = head(200, "") + CHUNK_WITHOUT_END;
+        EndlessServer server = mSite.endlessServer("i-1", "llm", begin);
+        mSite.server("i-2", "llm");
+        start();
+        Site.await(() -> server.closed() > 0);
+        Site.await(() -> mSite.call(0, "/chat/", "id", "x").statusCode() == 200);
+    }
 }
