Log how long an engine had sent nothing when a request ended

The record of the lost long streams could not tell an engine that fell silent from one that was slow, nor why a stream that broke off found no other engine. The line of a request's end now tells how long its engine had sent nothing, which engine a caller left, and why a stream last waited.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -234,6 +234,7 @@
         if (mEnded || data.length() == 0) {
             return;
         }
+        mCall.heard();
         beginAnswer(response);
         mCall.answer().chunk(data);
         if (mCall.answer().isFull()) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -41,6 +41,8 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mAskedEngine = "";
+    private long mHeardNanos;
+    private String mEngine = "";
     private long mDeadlineTimer = -1;
     private long mWaitTimer = -1;
 
@@ -58,6 +60,7 @@
         mHead = head;
         mNeeds = needs;
         mAnswer = new CallAnswer(context, request);
+        mHeardNanos = needs.arrivedNanos();
     }
 
     static CallNeeds needs(
@@ -184,6 +187,8 @@
 
     private boolean send(Engine engine, long now) {
         mContext.dispatcher().sent(engine.id(), mNeeds, now);
+        mEngine = engine.id();
+        mWaitReason = "";
         workChanged(engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
@@ -223,6 +228,11 @@
         mRuns++;
     }
 
+    /** Takes that the engine has sent something. */
+    void heard() {
+        mHeardNanos = mContext.now();
+    }
+
     /** Takes that an attempt certainly did not run. */
     void notRun(Engine engine, String cause, boolean arrived) {
         attemptEnded(engine, cause);
@@ -330,7 +340,7 @@
         }
         if (mAnswer.hasBegun()) {
             mAnswer.abort();
-            finish("aborted", outcome.code());
+            finish("aborted", outcome.code() + (mWaitReason.isEmpty() ? "" : " " + mWaitReason));
             return;
         }
         double seconds = WaitingTime.returnSeconds(mNeeds, mContext.now());
@@ -341,7 +351,7 @@
     private void callerLeft() {
         if (!mDone) {
             mAttempt.ifPresent(Attempt::cancel);
-            finish("caller_left", "");
+            finish("caller_left", mAttempt.isPresent() ? mEngine : mWaitReason);
         }
     }
 
@@ -370,6 +380,8 @@
                         outcome,
                         "detail",
                         detail,
+                        "quiet_ms",
+                        Duration.ofNanos(mContext.now() - mHeardNanos).toMillis(),
                         "first_ms",
                         mAnswer.firstMillis(mNeeds.arrivedNanos()),
                         "ms",
