Failing tests: long streams are lost with their engine (SHORT)

Both fail on the current code: a stream that breaks off 4 s after its start (objective 2 s) is closed though another engine could load the adapter, and one whose engine falls silent gets nothing more for 30 s.

--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** An engine or plain server for tests; what it answers to requests is the test's. */
 public final class EngineStandIn {
@@ -129,6 +130,17 @@
                 .onComplete(r -> request.connection().close());
     }
 
+    /** Streams one event of three, then does something; goes on after it if asked to. */
+    public void streamOneEvent(
+            Arrival arrival, HttpServerRequest request, Consumer<HttpServerResponse> next) {
+        HttpServerResponse response = head(arrival, request).setChunked(true);
+        if ("1".equals(arrival.headers().get("Last-Event-Id"))) {
+            response.end("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+        } else {
+            response.write("id: 1\ndata: a\n\n").onSuccess(v -> next.accept(response));
+        }
+    }
+
     public void dropConnection(Arrival arrival, HttpServerRequest request) {
         request.connection().close();
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/Site.java
@@ -28,10 +28,13 @@
     /** Beyond the patience: a test never sees an answer that came by its deadline only. */
     private static final int LONG_MILLIS = 120_000;
 
+    private static final int PAUSE_MILLIS = 300;
+
     private final Vertx mVertx = Vertx.vertx();
     private final StoreStandIn mStore = new StoreStandIn(mVertx);
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private int mObjectiveMillis = 15_000;
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final int mCallersPort = freePort();
     private final int mReadinessPort = freePort();
@@ -98,7 +101,13 @@
                         .encode());
     }
 
-    private static JsonObject route(
+    /** Sets the latency objective of routes that are published after it. */
+    public Site objective(int millis) {
+        mObjectiveMillis = millis;
+        return this;
+    }
+
+    private JsonObject route(
             String host, String type, String prefix, String service, int attempts) {
         return new JsonObject()
                 .put("name", host + prefix)
@@ -106,7 +115,8 @@
                 .put("prefix", prefix)
                 .put("type", type)
                 .put("timeout-ms", LONG_MILLIS)
-                .put("target-latency-ms", 15_000)
+                .put("target-latency-ms", mObjectiveMillis)
+                .put("gap-aim-ms", PAUSE_MILLIS)
                 .put("service", service)
                 .put("max-attempts", attempts);
     }
