A stream that loses its engine waits for another one from then on

Cause: the time for which a request may wait for an engine, 1.3 objectives, counted from its arrival also for a stream that had begun. One that lost its engine later than that was given up in the same millisecond unless another engine had the adapter already, which in a fleet with thousands of adapters and five places on an engine is seldom so.

A stream that has begun now asks for an engine as if it came at the interruption, with the deadline that it had, so it waits for a load like any other request and is ordered and placed like one.

--- a/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
@@ -37,6 +37,28 @@
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Returns what remains of a stream that lost its engine. It asks for an engine anew, with the
+     * objective that its next event comes as soon as the first one of a new request.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the same request as if it came now, with the deadline that it had
+     */
+    public CallNeeds interruptedAt(long now) {
+        return new CallNeeds(
+                id,
+                service,
+                adapter,
+                version,
+                promptTokens,
+                outputTokens,
+                parts,
+                rank,
+                now,
+                now + targetNanos - arrivedNanos,
+                deadlineNanos);
+    }
+
     /**
      * Returns the memory that the request takes on an engine.
      *
--- a/core/src/test/java/org/fescuehollow/dispatch/WaitingTimeTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/WaitingTimeTest.java
@@ -44,6 +44,20 @@
         then(refused).isTrue();
     }
 
+    @Test
+    void isOver_forAnInterruptedStreamCountsFromItsInterruption() {
+        CallNeeds call = call(ADAPTER, 1_000, 15_000).interruptedAt(at(6_000));
+        then(WaitingTime.isOver(call, at(7_299))).isFalse();
+        then(WaitingTime.isOver(call, at(7_300))).isTrue();
+    }
+
+    @Test
+    void isOver_forAnInterruptedStreamLeavesTimeBeforeItsDeadline() {
+        CallNeeds call = call(ADAPTER, 1_000, 15_000).interruptedAt(at(14_000));
+        then(WaitingTime.isOver(call, at(14_599))).isFalse();
+        then(WaitingTime.isOver(call, at(14_600))).isTrue();
+    }
+
     @Test
     void returnSeconds_leaveTimeForTheNextAttempt() {
         CallNeeds call = call(ADAPTER, 1_000, 15_000);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -31,7 +31,8 @@
     private final Buffer mBody;
     private final Route mRoute;
     private final RequestHead mHead;
-    private final CallNeeds mNeeds;
+    private final long mArrivedNanos;
+    private CallNeeds mNeeds;
     private final CallAnswer mAnswer;
     private final EventSplitter mEvents = new EventSplitter();
     private final Set<String> mAvoided = new HashSet<>();
@@ -60,7 +61,8 @@
         mHead = head;
         mNeeds = needs;
         mAnswer = new CallAnswer(context, request);
-        mHeardNanos = needs.arrivedNanos();
+        mArrivedNanos = needs.arrivedNanos();
+        mHeardNanos = mArrivedNanos;
     }
 
     static CallNeeds needs(
@@ -254,12 +256,22 @@
         if (goesOn && canRunAgain()) {
             mAvoided.add(engine.id());
             mEvents.dropPartialEvent();
+            interrupted();
             placeOrWait();
         } else {
             refuse(Outcome.ANSWER_LOST);
         }
     }
 
+    /** A stream that has begun asks for an engine anew; its first wait is long over. */
+    private void interrupted() {
+        if (mAnswer.hasBegun()) {
+            mContext.node().vertx().cancelTimer(mWaitTimer);
+            mWaitTimer = -1;
+            mNeeds = mNeeds.interruptedAt(mContext.now());
+        }
+    }
+
     /** Takes one repeat of a run if the route, the budget and the time allow it. */
     boolean canRunAgain() {
         return mRoute.isRepeatable()
@@ -383,9 +395,9 @@
                         "quiet_ms",
                         Duration.ofNanos(mContext.now() - mHeardNanos).toMillis(),
                         "first_ms",
-                        mAnswer.firstMillis(mNeeds.arrivedNanos()),
+                        mAnswer.firstMillis(mArrivedNanos),
                         "ms",
-                        Duration.ofNanos(mContext.now() - mNeeds.arrivedNanos()).toMillis());
+                        Duration.ofNanos(mContext.now() - mArrivedNanos).toMillis());
         mContext.offerWaiting();
     }
 }
