A stream leaves an engine that has fallen silent for one that can take it

Cause: an engine that goes dark or is cut off within a stream closes nothing, and nothing here noticed the silence.

An engine writes for all its requests in turn. EngineSilence counts, for each engine, the time since it sent anything to this node, and for each stream its own; three pauses that the route allows within a stream are silence, or two objectives before the first event. Time counts in short steps only, so a pause of this process is none of the engine's. A silent stream is left only if it may run again and another engine can take it at once; until then that one is asked to load the adapter, as the silent engine may still answer.

--- a/core/src/main/java/org/fescuehollow/catalog/Route.java
+++ b/core/src/main/java/org/fescuehollow/catalog/Route.java
@@ -13,6 +13,7 @@
  * @param kind how often its requests may run
  * @param timeoutMillis the longest time a request may be kept waiting
  * @param targetMillis the latency objective
+ * @param pauseMillis the longest pause between two events of a stream that is still on time
  * @param rank its priority, 0 being the most urgent
  * @param targets services with their weights; never empty
  * @param maxAttempts the most engines that may run one request
@@ -25,6 +26,7 @@
         RouteKind kind,
         long timeoutMillis,
         long targetMillis,
+        long pauseMillis,
         int rank,
         List<Target> targets,
         int maxAttempts,
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineSilence.java
@@ -0,0 +1,119 @@
+package org.fescuehollow.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Notices engines that have fallen silent under the streams that they write.
+ *
+ * <p>Load pattern: an engine loses power or is cut off, and its connections stay open without a
+ * word. It writes for all its requests in turn, so one that sends nothing at all for some of the
+ * pauses that are allowed within a stream is not merely slow; a stream that waits while others go
+ * on is only held back.
+ *
+ * <p>Invariant: time counts only while this is told of it in short steps, so a pause of this
+ * process is no silence of an engine. Not safe for concurrent use.
+ */
+public final class EngineSilence {
+    /** Pauses without a word after which a stream that has begun is silent. */
+    private static final int PAUSES = 3;
+
+    /** Latency objectives without a word after which one that has not begun is silent. */
+    private static final int OBJECTIVES = 2;
+
+    private final Duration mLongestStep;
+    private final Map<String, Quiet> mEngines = new HashMap<>();
+    private final List<Stream> mStreams = new ArrayList<>();
+    private long mLastNanos;
+
+    /** How long something has been quiet. */
+    private static final class Quiet {
+        private long mNanos;
+        private int mStreams;
+    }
+
+    /** A stream that an engine writes, or is to write. */
+    public final class Stream {
+        private final String mEngine;
+        private final long mPauseNanos;
+        private final long mObjectiveNanos;
+        private long mQuietNanos;
+        private boolean mBegun;
+
+        private Stream(String engine, Duration pause, Duration objective) {
+            mEngine = engine;
+            mPauseNanos = pause.toNanos();
+            mObjectiveNanos = objective.toNanos();
+        }
+
+        /** Takes that something came. */
+        public void heard() {
+            mBegun = true;
+            mQuietNanos = 0;
+            Quiet engine = mEngines.get(mEngine);
+            if (engine != null) {
+                engine.mNanos = 0;
+            }
+        }
+
+        /** Takes that the stream ended; it may be told more than once. */
+        public void close() {
+            if (mStreams.remove(this)) {
+                Quiet engine = mEngines.get(mEngine);
+                engine.mStreams--;
+                if (engine.mStreams == 0) {
+                    mEngines.remove(mEngine);
+                }
+            }
+        }
+
+        private boolean isSilent() {
+            long own = mBegun ? mPauseNanos * PAUSES : mObjectiveNanos * OBJECTIVES;
+            long engine = mEngines.get(mEngine).mNanos;
+            return mQuietNanos >= own && engine >= mPauseNanos * PAUSES;
+        }
+    }
+
+    /**
+     * Creates a watch without streams.
+     *
+     * @param step about the time between two calls of {@link #silent}
+     * @param now the monotonic time in nanoseconds
+     */
+    public EngineSilence(Duration step, long now) {
+        mLongestStep = step.multipliedBy(2);
+        mLastNanos = now;
+    }
+
+    /**
+     * Takes that a request for a stream was sent.
+     *
+     * @param engine the engine's id
+     * @param pause the longest pause between events that is still on time
+     * @param objective the time within which the first event is due
+     * @return the stream, to be told of what comes and of its end
+     */
+    public Stream open(String engine, Duration pause, Duration objective) {
+        Stream stream = new Stream(engine, pause, objective);
+        mStreams.add(stream);
+        mEngines.computeIfAbsent(engine, e -> new Quiet()).mStreams++;
+        return stream;
+    }
+
+    /**
+     * Takes that time has passed.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the streams whose engines have fallen silent
+     */
+    public List<Stream> silent(long now) {
+        long step = Math.min(now - mLastNanos, mLongestStep.toNanos());
+        mLastNanos = now;
+        mEngines.values().forEach(e -> e.mNanos += step);
+        mStreams.forEach(s -> s.mQuietNanos += step);
+        return mStreams.stream().filter(Stream::isSilent).toList();
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -11,6 +11,7 @@
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.RouteKind;
 import org.fescuehollow.dispatch.EngineHealth;
+import org.fescuehollow.dispatch.EngineSilence;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.platform.AnswerHead;
 import org.fescuehollow.platform.RequestHead;
@@ -43,6 +44,7 @@
     private final CallFlow mCall;
     private final Engine mEngine;
     private Optional<HttpClientRequest> mRequest = Optional.empty();
+    private Optional<EngineSilence.Stream> mStream = Optional.empty();
     private boolean mEnded;
 
     Attempt(CallContext context, CallFlow call, Engine engine) {
@@ -73,7 +75,7 @@
 
     /** Ends the attempt; the engine sees its connection closed. */
     void cancel() {
-        mEnded = true;
+        end();
         mRequest.ifPresent(r -> r.connection().close());
     }
 
@@ -102,6 +104,9 @@
         request.exceptionHandler(this::broken);
         request.response().onSuccess(this::answered).onFailure(this::broken);
         mCall.running();
+        if (mCall.route().kind() == RouteKind.STREAM) {
+            mStream = Optional.of(mContext.watch(this, mCall.route()));
+        }
         write(request);
     }
 
@@ -128,9 +133,21 @@
     private boolean end() {
         boolean first = !mEnded;
         mEnded = true;
+        mStream.ifPresent(mContext::close);
+        mStream = Optional.empty();
         return first;
     }
 
+    /** Takes that the engine has sent nothing for long, to this request or any other. */
+    void fellSilent() {
+        if (!mEnded && mCall.leaveSilent(mEngine)) {
+            end();
+            closeConnection();
+            health().ifPresent(h -> h.failed(mContext.now()));
+            mCall.runAgain(mEngine, "silent");
+        }
+    }
+
     private Optional<EngineHealth> health() {
         return mContext.dispatcher().health(mEngine.id());
     }
@@ -235,6 +252,7 @@
             return;
         }
         mCall.heard();
+        mStream.ifPresent(EngineSilence.Stream::heard);
         beginAnswer(response);
         mCall.answer().chunk(data);
         if (mCall.answer().isFull()) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallContext.java
@@ -1,10 +1,13 @@
 package org.fescuehollow.gateway.calls;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.dispatch.EngineSilence;
 import org.fescuehollow.dispatch.RetryWindow;
 import org.fescuehollow.dispatch.WaitQueue;
 import org.fescuehollow.gateway.exchange.ExchangeService;
@@ -16,6 +19,9 @@
 
 /** What all requests of a node share. Used on the node's loop. */
 final class CallContext {
+    /** Between looks for silent engines; a part of the shortest pause that counts. */
+    static final long SILENCE_MILLIS = 100;
+
     private final NodeContext mNode;
     private final CatalogService mCatalog;
     private final Dispatcher mDispatcher;
@@ -24,6 +30,8 @@
     private final ExchangeService mExchange;
     private final WaitQueue<CallFlow> mQueue = new WaitQueue<>(CallFlow::needs);
     private final Map<String, RetryWindow> mRetries = new HashMap<>();
+    private final EngineSilence mSilence;
+    private final Map<EngineSilence.Stream, Attempt> mStreams = new HashMap<>();
     private int mOpen;
     private boolean mLeaving;
     private boolean mClosed;
@@ -41,6 +49,7 @@
         mResidency = residency;
         mOrders = orders;
         mExchange = exchange;
+        mSilence = new EngineSilence(Duration.ofMillis(SILENCE_MILLIS), node.clock().now());
     }
 
     NodeContext node() {
@@ -90,6 +99,27 @@
         return retries(service).tryRepeat(mExchange.peers().size(), now());
     }
 
+    /** Watches the stream of an attempt until it is closed. */
+    EngineSilence.Stream watch(Attempt attempt, Route route) {
+        EngineSilence.Stream stream =
+                mSilence.open(
+                        attempt.engine().id(),
+                        Duration.ofMillis(route.pauseMillis()),
+                        Duration.ofMillis(route.targetMillis()));
+        mStreams.put(stream, attempt);
+        return stream;
+    }
+
+    void close(EngineSilence.Stream stream) {
+        stream.close();
+        mStreams.remove(stream);
+    }
+
+    /** Lets streams whose engines have fallen silent go on elsewhere. */
+    void checkSilence() {
+        mSilence.silent(now()).stream().map(mStreams::get).toList().forEach(Attempt::fellSilent);
+    }
+
     /** Offers waiting requests to the engines, in order. */
     void offerWaiting() {
         if (mQueue.size() > 0) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -167,23 +167,23 @@
         long now = mContext.now();
         Placement placement = mContext.dispatcher().place(mNeeds, mAvoided, now);
         if (placement instanceof Placement.Send s) {
-            s.loadOn().ifPresent(this::want);
+            s.loadOn().ifPresent(e -> want(mNeeds, e));
             return mContext.catalog().engine(s.engine()).map(e -> send(e, now)).orElse(false);
         }
         Placement.Wait w = (Placement.Wait) placement;
         mWaitReason = w.reason().name();
         mAskedEngine = w.loadOn().orElse("");
-        w.loadOn().ifPresent(this::want);
+        w.loadOn().ifPresent(e -> want(mNeeds, e));
         return false;
     }
 
-    private void want(String engine) {
+    private void want(CallNeeds needs, String engine) {
         AdapterWant want =
                 new AdapterWant(
-                        mNeeds.adapter(),
-                        mNeeds.version(),
-                        mNeeds.rank(),
-                        WaitingTime.endNanos(mNeeds));
+                        needs.adapter(),
+                        needs.version(),
+                        needs.rank(),
+                        WaitingTime.endNanos(needs));
         mContext.orders().want(engine, want);
     }
 
@@ -285,9 +285,33 @@
         attemptEnded(engine, cause);
         mMayHaveRun = true;
         mAvoided.add(engine.id());
+        mEvents.dropPartialEvent();
+        interrupted();
         placeOrWait();
     }
 
+    /**
+     * Tells whether the request is to leave an engine that has fallen silent: only for one that can
+     * take it now, as the silent one may still answer.
+     */
+    boolean leaveSilent(Engine engine) {
+        if (!mRoute.isRepeatable() || mRuns >= mRoute.maxAttempts() || !hasTime()) {
+            return false;
+        }
+        Set<String> avoided = new HashSet<>(mAvoided);
+        avoided.add(engine.id());
+        long now = mContext.now();
+        CallNeeds needs = mAnswer.hasBegun() ? mNeeds.interruptedAt(now) : mNeeds;
+        Placement placement = mContext.dispatcher().place(needs, avoided, now);
+        if (placement instanceof Placement.Send s && !s.engine().equals(engine.id())) {
+            return mContext.tryRepeat(mNeeds.service());
+        }
+        if (placement instanceof Placement.Wait w) {
+            w.loadOn().ifPresent(e -> want(needs, e));
+        }
+        return false;
+    }
+
     private boolean hasTime() {
         return mNeeds.deadlineNanos() - mContext.now() > LEAST_REPEAT_NANOS;
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontService.java
@@ -51,6 +51,7 @@
     private CallContext mContext;
     private HttpServer mServer;
     private long mTimer;
+    private long mSilenceTimer;
 
     /**
      * Creates the service.
@@ -80,6 +81,8 @@
         mNode.vertx().runOnContext(v -> catalogChanged());
         orders.onChange(mContext::offerWaiting);
         mTimer = mNode.vertx().setPeriodic(OFFER_MILLIS, t -> mContext.offerWaiting());
+        mSilenceTimer =
+                mNode.vertx().setPeriodic(CallContext.SILENCE_MILLIS, t -> mContext.checkSilence());
         NodeSettings.Address address = mNode.settings().callers();
         mServer =
                 mNode.vertx()
@@ -101,6 +104,7 @@
     @Override
     public void stop() {
         mNode.vertx().cancelTimer(mTimer);
+        mNode.vertx().cancelTimer(mSilenceTimer);
         mServer.close();
     }
 
