An interrupted stream waits longer for an engine than a new request

Their callers have a part of the answer and leave only after four objectives without an event, while a refused new request can come back elsewhere at once. They now wait for up to 2.6 objectives, which leaves time to read the prompt again.

--- a/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
@@ -19,6 +19,7 @@
  * @param arrivedNanos when it arrived
  * @param targetNanos when its latency objective ends
  * @param deadlineNanos when its final answer is due
+ * @param resumed true for what remains of a stream that lost its engine
  */
 public record CallNeeds(
         String id,
@@ -31,12 +32,41 @@
         int rank,
         long arrivedNanos,
         long targetNanos,
-        long deadlineNanos) {
+        long deadlineNanos,
+        boolean resumed) {
     /** Copies the list. */
     public CallNeeds {
         parts = List.copyOf(parts);
     }
 
+    /** Creates what a new request needs; see the record's components. */
+    public CallNeeds(
+            String id,
+            String service,
+            AdapterKey adapter,
+            long version,
+            int promptTokens,
+            int outputTokens,
+            List<PromptPart> parts,
+            int rank,
+            long arrivedNanos,
+            long targetNanos,
+            long deadlineNanos) {
+        this(
+                id,
+                service,
+                adapter,
+                version,
+                promptTokens,
+                outputTokens,
+                parts,
+                rank,
+                arrivedNanos,
+                targetNanos,
+                deadlineNanos,
+                false);
+    }
+
     /**
      * Returns what remains of a stream that lost its engine. It asks for an engine anew, with the
      * objective that its next event comes as soon as the first one of a new request.
@@ -56,7 +86,8 @@
                 rank,
                 now,
                 now + targetNanos - arrivedNanos,
-                deadlineNanos);
+                deadlineNanos,
+                true);
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/WaitingTime.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/WaitingTime.java
@@ -21,6 +21,13 @@
      */
     private static final double MODEL_OBJECTIVES = 1.3;
 
+    /**
+     * Latency objectives after which a stream that lost its engine is broken off. Its caller has a
+     * part of the answer, and leaves after four of them without an event; the rest is for reading
+     * the prompt again.
+     */
+    private static final double RESUMED_OBJECTIVES = 2.6;
+
     /** Of the time left, the part after which the caller may come back; callers honour a third. */
     private static final double RETURN_SHARE = 0.3;
 
@@ -34,7 +41,8 @@
      */
     public static long endNanos(CallNeeds call) {
         double most = (call.deadlineNanos() - call.arrivedNanos()) * WAITING_SHARE;
-        double objective = (call.targetNanos() - call.arrivedNanos()) * MODEL_OBJECTIVES;
+        double objectives = call.resumed() ? RESUMED_OBJECTIVES : MODEL_OBJECTIVES;
+        double objective = (call.targetNanos() - call.arrivedNanos()) * objectives;
         return call.arrivedNanos() + (long) (call.needsModel() ? Math.min(most, objective) : most);
     }
 
