--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -31,7 +31,7 @@
     private final Buffer mBody;
     private final Route mRoute;
     private final RequestHead mHead;
-    private final long mArrivedNanos;
+    private final CallLog mLog;
     private CallNeeds mNeeds;
     private final CallAnswer mAnswer;
     private final EventSplitter mEvents = new EventSplitter();
@@ -42,7 +42,6 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mAskedEngine = "";
-    private long mHeardNanos;
     private String mEngine = "";
     private long mDeadlineTimer = -1;
     private long mWaitTimer = -1;
@@ -61,8 +60,7 @@
         mHead = head;
         mNeeds = needs;
         mAnswer = new CallAnswer(context, request);
-        mArrivedNanos = needs.arrivedNanos();
-        mHeardNanos = mArrivedNanos;
+        mLog = new CallLog(context.node().log(), needs.arrivedNanos());
     }
 
     static CallNeeds needs(
@@ -143,20 +141,7 @@
         if (mWaitTimer < 0) {
             mWaitTimer = timer(WaitingTime.leftMillis(mNeeds, now), this::waitedTooLong);
         }
-        mContext.node()
-                .log()
-                .line(
-                        "waiting",
-                        "id",
-                        mNeeds.id(),
-                        "reason",
-                        mWaitReason,
-                        "adapter",
-                        mNeeds.adapter(),
-                        "load_on",
-                        mAskedEngine,
-                        "most_ms",
-                        WaitingTime.leftMillis(mNeeds, now));
+        mLog.waiting(mNeeds, mWaitReason, mAskedEngine, now);
     }
 
     /** Sends the request if an engine can take it now. */
@@ -194,26 +179,7 @@
         workChanged(engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
-        mContext.node()
-                .log()
-                .line(
-                        "sent",
-                        "id",
-                        mNeeds.id(),
-                        "route",
-                        mRoute.name(),
-                        "engine",
-                        engine.id(),
-                        "adapter",
-                        mNeeds.adapter(),
-                        "prompt",
-                        mNeeds.promptTokens(),
-                        "output",
-                        mNeeds.outputTokens(),
-                        "waited_ms",
-                        Duration.ofNanos(now - mNeeds.arrivedNanos()).toMillis(),
-                        "runs",
-                        mRuns);
+        mLog.sent(mRoute, mNeeds, engine.id(), mRuns, now);
         attempt.start();
         return true;
     }
@@ -232,7 +198,7 @@
 
     /** Takes that the engine has sent something. */
     void heard() {
-        mHeardNanos = mContext.now();
+        mLog.heard(mContext.now());
     }
 
     /** Takes that an attempt certainly did not run. */
@@ -334,18 +300,7 @@
         workChanged(engine);
         mContext.node().metrics().attempt(mNeeds.service(), how.split(" ")[0]);
         if (!how.startsWith("status 2")) {
-            mContext.node()
-                    .log()
-                    .line(
-                            "attempt_failed",
-                            "id",
-                            mNeeds.id(),
-                            "engine",
-                            engine.id(),
-                            "cause",
-                            how,
-                            "runs",
-                            mRuns);
+            mLog.attemptFailed(mNeeds, engine.id(), how, mRuns);
         }
         mContext.offerWaiting();
     }
@@ -404,24 +359,7 @@
         mContext.node().vertx().cancelTimer(mDeadlineTimer);
         mContext.node().vertx().cancelTimer(mWaitTimer);
         mContext.node().metrics().request(mNeeds.service(), outcome);
-        mContext.node()
-                .log()
-                .line(
-                        "ended",
-                        "id",
-                        mNeeds.id(),
-                        "route",
-                        mRoute.name(),
-                        "outcome",
-                        outcome,
-                        "detail",
-                        detail,
-                        "quiet_ms",
-                        Duration.ofNanos(mContext.now() - mHeardNanos).toMillis(),
-                        "first_ms",
-                        mAnswer.firstMillis(mArrivedNanos),
-                        "ms",
-                        Duration.ofNanos(mContext.now() - mArrivedNanos).toMillis());
+        mLog.ended(mRoute, mNeeds, outcome, detail, mAnswer, mContext.now());
         mContext.offerWaiting();
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallLog.java
@@ -0,0 +1,100 @@
+package org.fescuehollow.gateway.calls;
+
+import java.time.Duration;
+import org.fescuehollow.catalog.Route;
+import org.fescuehollow.dispatch.CallNeeds;
+import org.fescuehollow.dispatch.WaitingTime;
+import org.fescuehollow.gateway.log.EventLog;
+
+/**
+ * The lines that one request leaves in the log.
+ *
+ * <p>Invariant: the times of the last line count from the request's arrival, those of the others
+ * from the interruption if the request lost its engine. Used on the node's loop.
+ */
+final class CallLog {
+    private final EventLog mLog;
+    private final long mArrivedNanos;
+    private long mHeardNanos;
+
+    CallLog(EventLog log, long arrivedNanos) {
+        mLog = log;
+        mArrivedNanos = arrivedNanos;
+        mHeardNanos = arrivedNanos;
+    }
+
+    /** Takes that an engine has sent something. */
+    void heard(long now) {
+        mHeardNanos = now;
+    }
+
+    void waiting(CallNeeds needs, String reason, String askedEngine, long now) {
+        mLog.line(
+                "waiting",
+                "id",
+                needs.id(),
+                "reason",
+                reason,
+                "adapter",
+                needs.adapter(),
+                "load_on",
+                askedEngine,
+                "most_ms",
+                WaitingTime.leftMillis(needs, now));
+    }
+
+    void sent(Route route, CallNeeds needs, String engine, int runs, long now) {
+        mLog.line(
+                "sent",
+                "id",
+                needs.id(),
+                "route",
+                route.name(),
+                "engine",
+                engine,
+                "adapter",
+                needs.adapter(),
+                "prompt",
+                needs.promptTokens(),
+                "output",
+                needs.outputTokens(),
+                "waited_ms",
+                Duration.ofNanos(now - needs.arrivedNanos()).toMillis(),
+                "runs",
+                runs);
+    }
+
+    void attemptFailed(CallNeeds needs, String engine, String cause, int runs) {
+        mLog.line(
+                "attempt_failed", "id", needs.id(), "engine", engine, "cause", cause, "runs", runs);
+    }
+
+    void ended(
+            Route route,
+            CallNeeds needs,
+            String outcome,
+            String detail,
+            CallAnswer answer,
+            long now) {
+        mLog.line(
+                "ended",
+                "id",
+                needs.id(),
+                "route",
+                route.name(),
+                "outcome",
+                outcome,
+                "detail",
+                detail,
+                "quiet_ms",
+                millisSince(mHeardNanos, now),
+                "first_ms",
+                answer.firstMillis(mArrivedNanos),
+                "ms",
+                millisSince(mArrivedNanos, now));
+    }
+
+    private static long millisSince(long then, long now) {
+        return Duration.ofNanos(now - then).toMillis();
+    }
+}
