Failures while news of the store is taken over have a line in the log again

What operators saw: nothing, if a listener failed on what was read. Cause: since calls are paced by WatchPacing, an answer counts before its news is taken over, and the failure of a call that no longer counts was dropped without a line. Found by reading the change, not by a run. It is now logged and counted (store_news_failed); the store does not count as lost for it, as it has answered.

--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -91,12 +91,12 @@
         WatchPacing.Call call = mPacing.send(now);
         if (mFollowing) {
             mStore.watch(mPrefix, mRevision, call.waitMillis(), call.limitMillis())
-                    .onSuccess(p -> guarded(call, () -> changed(call, p)))
+                    .onSuccess(p -> guarded(() -> changed(call, p)))
                     .onFailure(e -> failed(call, e));
         } else {
             String after = mPages.isEmpty() ? "" : mPages.get(mPages.size() - 1).key();
             mStore.range(mPrefix, after, call.limitMillis())
-                    .onSuccess(p -> guarded(call, () -> read(call, p)))
+                    .onSuccess(p -> guarded(() -> read(call, p)))
                     .onFailure(e -> failed(call, e));
         }
         arm();
@@ -128,11 +128,13 @@
         }
     }
 
-    private void guarded(WatchPacing.Call call, Runnable action) {
+    /** What was read counts as read: a listener that fails does not make the store lost. */
+    private void guarded(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
-            failed(call, e);
+            mContext.metrics().event("store_news_failed");
+            mContext.log().line("store_news_failed", "prefix", mPrefix, "cause", e);
         }
     }
 
