--- a/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/CallNeeds.java
@@ -39,34 +39,6 @@
         parts = List.copyOf(parts);
     }
 
-    /** Creates what a new request needs; see the record's components. */
-    public CallNeeds(
-            String id,
-            String service,
-            AdapterKey adapter,
-            long version,
-            int promptTokens,
-            int outputTokens,
-            List<PromptPart> parts,
-            int rank,
-            long arrivedNanos,
-            long targetNanos,
-            long deadlineNanos) {
-        this(
-                id,
-                service,
-                adapter,
-                version,
-                promptTokens,
-                outputTokens,
-                parts,
-                rank,
-                arrivedNanos,
-                targetNanos,
-                deadlineNanos,
-                false);
-    }
-
     /**
      * Returns what remains of a stream that lost its engine. It asks for an engine anew, with the
      * objective that its next event comes as soon as the first one of a new request.
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineSilence.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineSilence.java
@@ -49,14 +49,11 @@
             mObjectiveNanos = objective.toNanos();
         }
 
-        /** Takes that something came. */
+        /** Takes that something came; only before the stream's end. */
         public void heard() {
             mBegun = true;
             mQuietNanos = 0;
-            Quiet engine = mEngines.get(mEngine);
-            if (engine != null) {
-                engine.mNanos = 0;
-            }
+            mEngines.get(mEngine).mNanos = 0;
         }
 
         /** Takes that the stream ended; it may be told more than once. */
@@ -70,6 +67,15 @@
             }
         }
 
+        /**
+         * Returns how long nothing has come, as far as steps were told.
+         *
+         * @return the time since something came, or since the request was sent
+         */
+        public Duration quiet() {
+            return Duration.ofNanos(mQuietNanos);
+        }
+
         private boolean isSilent() {
             long own = mBegun ? mPauseNanos * PAUSES : mObjectiveNanos * OBJECTIVES;
             long engine = mEngines.get(mEngine).mNanos;
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -50,7 +50,8 @@
                 0,
                 0,
                 SECOND,
-                5 * SECOND);
+                5 * SECOND,
+                false);
     }
 
     private String sent(CallNeeds call, long now) {
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineSilenceTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineSilenceTest.java
@@ -71,6 +71,15 @@
         then(mSilence.silent(mNow)).isEmpty();
     }
 
+    @Test
+    void quiet_countsSinceSomethingCame() {
+        EngineSilence.Stream stream = open("e");
+        after(300);
+        stream.heard();
+        after(200);
+        then(stream.quiet()).isEqualTo(Duration.ofMillis(200));
+    }
+
     @Test
     void silent_notAfterItsEnd() {
         EngineSilence.Stream stream = open("e");
--- a/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
@@ -59,7 +59,8 @@
                 0,
                 now,
                 now + nanos(OBJECTIVE_MILLIS),
-                now + nanos(5_000));
+                now + nanos(5_000),
+                false);
     }
 
     private static long nanos(int millis) {
--- a/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
@@ -11,7 +11,7 @@
 class WaitQueueTest {
     private static CallNeeds call(String id, int rank, long arrived, long target) {
         return new CallNeeds(
-                id, "s", AdapterKey.NONE, 0, 0, 0, List.of(), rank, arrived, target, 1_000);
+                id, "s", AdapterKey.NONE, 0, 0, 0, List.of(), rank, arrived, target, 1_000, false);
     }
 
     private static List<String> order(long now, CallNeeds... calls) {
--- a/core/src/test/java/org/fescuehollow/dispatch/WaitingTimeTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/WaitingTimeTest.java
@@ -13,7 +13,8 @@
     private static CallNeeds call(AdapterKey adapter, long targetMillis, long deadlineMillis) {
         long target = Duration.ofMillis(targetMillis).toNanos();
         long deadline = Duration.ofMillis(deadlineMillis).toNanos();
-        return new CallNeeds("id", "s", adapter, 0, 10, 10, List.of(), 0, 0, target, deadline);
+        return new CallNeeds(
+                "id", "s", adapter, 0, 10, 10, List.of(), 0, 0, target, deadline, false);
     }
 
     private static long at(long millis) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -133,11 +133,16 @@
     private boolean end() {
         boolean first = !mEnded;
         mEnded = true;
-        mStream.ifPresent(mContext::close);
+        mStream.ifPresent(this::close);
         mStream = Optional.empty();
         return first;
     }
 
+    private void close(EngineSilence.Stream stream) {
+        mCall.quiet(stream.quiet());
+        mContext.close(stream);
+    }
+
     /** Takes that the engine has sent nothing for long, to this request or any other. */
     void fellSilent() {
         if (!mEnded && mCall.leaveSilent(mEngine)) {
@@ -210,7 +215,7 @@
             } else {
                 response.handler(b -> relay(response, b));
             }
-            response.endHandler(v -> streamEnded(response));
+            response.endHandler(v -> relayedAnswerEnded(response));
         } else {
             Buffer held = Buffer.buffer();
             response.handler(b -> hold(response, held, b));
@@ -234,7 +239,7 @@
 
     private void heldAnswerEnded(HttpClientResponse response, Buffer held) {
         if (mCall.answer().hasBegun()) {
-            streamEnded(response);
+            relayedAnswerEnded(response);
         } else {
             wholeAnswer(response, held);
         }
@@ -251,7 +256,6 @@
         if (mEnded || data.length() == 0) {
             return;
         }
-        mCall.heard();
         mStream.ifPresent(EngineSilence.Stream::heard);
         beginAnswer(response);
         mCall.answer().chunk(data);
@@ -263,15 +267,12 @@
 
     private void beginAnswer(HttpClientResponse response) {
         if (!mCall.answer().hasBegun()) {
-            mContext.node()
-                    .metrics()
-                    .firstByte(
-                            mCall.needs().service(), mContext.now() - mCall.needs().arrivedNanos());
+            noteFirstByte();
             mCall.answer().head(response.statusCode(), response.headers());
         }
     }
 
-    private void streamEnded(HttpClientResponse response) {
+    private void relayedAnswerEnded(HttpClientResponse response) {
         if (mEnded) {
             return;
         }
@@ -280,8 +281,7 @@
             return;
         }
         end();
-        boolean failed = response.statusCode() >= SERVER_ERROR;
-        health().ifPresent(h -> note(h, failed, mContext.now()));
+        noteStatus(response.statusCode());
         beginAnswer(response);
         mCall.answer().end();
         mCall.delivered(mEngine, response.statusCode());
@@ -291,21 +291,23 @@
         if (!end()) {
             return;
         }
-        long now = mContext.now();
-        boolean failed = response.statusCode() >= SERVER_ERROR;
-        health().ifPresent(h -> note(h, failed, now));
-        mContext.node()
-                .metrics()
-                .firstByte(mCall.needs().service(), now - mCall.needs().arrivedNanos());
+        noteStatus(response.statusCode());
+        noteFirstByte();
         mCall.answer().whole(response.statusCode(), response.headers(), body);
         mCall.delivered(mEngine, response.statusCode());
     }
 
-    private static void note(EngineHealth health, boolean failed, long now) {
-        if (failed) {
-            health.failed(now);
+    private void noteFirstByte() {
+        long waited = mContext.now() - mCall.needs().arrivedNanos();
+        mContext.node().metrics().firstByte(mCall.needs().service(), waited);
+    }
+
+    private void noteStatus(int status) {
+        long now = mContext.now();
+        if (status >= SERVER_ERROR) {
+            health().ifPresent(h -> h.failed(now));
         } else {
-            health.succeeded(now);
+            health().ifPresent(h -> h.succeeded(now));
         }
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallFlow.java
@@ -42,7 +42,6 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mAskedEngine = "";
-    private String mEngine = "";
     private long mDeadlineTimer = -1;
     private long mWaitTimer = -1;
 
@@ -78,7 +77,8 @@
                 route.rank(),
                 now,
                 now + Duration.ofMillis(route.targetMillis()).toNanos(),
-                now + Duration.ofMillis(millis).toNanos());
+                now + Duration.ofMillis(millis).toNanos(),
+                false);
     }
 
     CallNeeds needs() {
@@ -174,7 +174,6 @@
 
     private boolean send(Engine engine, long now) {
         mContext.dispatcher().sent(engine.id(), mNeeds, now);
-        mEngine = engine.id();
         mWaitReason = "";
         workChanged(engine);
         Attempt attempt = new Attempt(mContext, this, engine);
@@ -196,9 +195,9 @@
         mRuns++;
     }
 
-    /** Takes that the engine has sent something. */
-    void heard() {
-        mLog.heard(mContext.now());
+    /** Takes how long an engine had sent nothing when its stream ended. */
+    void quiet(Duration time) {
+        mLog.quiet(time);
     }
 
     /** Takes that an attempt certainly did not run. */
@@ -240,10 +239,11 @@
 
     /** Takes one repeat of a run if the route, the budget and the time allow it. */
     boolean canRunAgain() {
-        return mRoute.isRepeatable()
-                && mRuns < mRoute.maxAttempts()
-                && hasTime()
-                && mContext.tryRepeat(mNeeds.service());
+        return mayRunAgain() && mContext.tryRepeat(mNeeds.service());
+    }
+
+    private boolean mayRunAgain() {
+        return mRoute.isRepeatable() && mRuns < mRoute.maxAttempts() && hasTime();
     }
 
     /** Takes that the engine failed the request and that another one is to run it. */
@@ -261,7 +261,7 @@
      * take it now, as the silent one may still answer.
      */
     boolean leaveSilent(Engine engine) {
-        if (!mRoute.isRepeatable() || mRuns >= mRoute.maxAttempts() || !hasTime()) {
+        if (!mayRunAgain()) {
             return false;
         }
         Set<String> avoided = new HashSet<>(mAvoided);
@@ -342,7 +342,7 @@
     private void callerLeft() {
         if (!mDone) {
             mAttempt.ifPresent(Attempt::cancel);
-            finish("caller_left", mAttempt.isPresent() ? mEngine : mWaitReason);
+            finish("caller_left", mAttempt.map(a -> a.engine().id()).orElse(mWaitReason));
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CallLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CallLog.java
@@ -15,17 +15,16 @@
 final class CallLog {
     private final EventLog mLog;
     private final long mArrivedNanos;
-    private long mHeardNanos;
+    private long mQuietMillis = -1;
 
     CallLog(EventLog log, long arrivedNanos) {
         mLog = log;
         mArrivedNanos = arrivedNanos;
-        mHeardNanos = arrivedNanos;
     }
 
-    /** Takes that an engine has sent something. */
-    void heard(long now) {
-        mHeardNanos = now;
+    /** Takes how long an engine had sent nothing when its stream ended. */
+    void quiet(Duration time) {
+        mQuietMillis = time.toMillis();
     }
 
     void waiting(CallNeeds needs, String reason, String askedEngine, long now) {
@@ -87,14 +86,10 @@
                 "detail",
                 detail,
                 "quiet_ms",
-                millisSince(mHeardNanos, now),
+                mQuietMillis,
                 "first_ms",
                 answer.firstMillis(mArrivedNanos),
                 "ms",
-                millisSince(mArrivedNanos, now));
-    }
-
-    private static long millisSince(long then, long now) {
-        return Duration.ofNanos(now - then).toMillis();
+                Duration.ofNanos(now - mArrivedNanos).toMillis());
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/metrics/MetricsService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/metrics/MetricsService.java
@@ -6,6 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.Map;
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 
@@ -52,6 +53,7 @@
             Map<String, Object> dump = mKernel.dump();
             request.response().end(new JsonObject(dump).encodePrettily());
         } else {
+            mKernel.find(CatalogService.NAME, CatalogService.class).updateGauges();
             mNode.metrics().state("log_lines_dropped", mNode.log().dropped());
             request.response()
                     .putHeader("Content-Type", "text/plain; version=0.0.4")
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -31,9 +31,6 @@
     /** The name under which other services find this one. */
     public static final String NAME = "catalog";
 
-    /** Between two updates of the gauges. */
-    private static final long STATE_MILLIS = 1_000;
-
     /** Between looks at the engines, whose entries change often; calls are priced. */
     private static final Duration ENGINE_PAUSE = Duration.ofMillis(700);
 
@@ -102,7 +99,6 @@
                         this::servers);
         mContext.vertx().runOnContext(v -> mOperators.start());
         mContext.vertx().runOnContext(v -> mServers.start());
-        mContext.vertx().setPeriodic(STATE_MILLIS, t -> state());
     }
 
     @Override
@@ -111,7 +107,8 @@
         mServers.stop();
     }
 
-    private void state() {
+    /** Brings the gauges up to date; for each look at the metrics. */
+    public void updateGauges() {
         long now = mContext.clock().now();
         mContext.metrics().state("operators_silence_ms", mOperators.silence(now).toMillis());
         mContext.metrics().state("engines_silence_ms", mServers.silence(now).toMillis());
