Rank a newly discovered node instead of ranking all nodes again

Cause: each node that was learnt cleared the claimants of all engines, so a VM that starts in a fleet ranked engines x nodes pairs for each of its discoveries. ClaimantTableTest replays it: at 300 nodes and 100 engines 4,515,000 weights before (clearing, as a mutant), 30,000 after, one for each pair.

A ranking starts over only for engines that lose a claimant. Ruled out: keeping the cache and sorting less often, as a stale ranking gives two nodes the same rank.

--- a/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -5,14 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
-import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * The other entry nodes that this node knows, and when each last received a message from it.
@@ -34,19 +31,9 @@
     /** Time without a message until a node of a small fleet no longer counts as live. */
     private static final long MIN_LIVENESS_TIMEOUT_NANOS = Duration.ofMillis(1_500).toNanos();
 
-    /** Maximum size of the claimant cache, which also keeps entries of engines that are gone. */
-    private static final int MAX_CACHED_ENGINES = 4_096;
-
-    /**
-     * Number of nodes that may claim an engine. Nodes of its failure domain rank first, so one is
-     * left if a failure domain with two nodes is lost. Each additional claimant also has to receive
-     * the holder's messages.
-     */
-    private static final int MAX_CLAIMANTS = 3;
-
     private final Peer mSelf;
     private final Map<String, PeerState> mPeers = new HashMap<>();
-    private final Map<String, List<Peer>> mClaimants = new HashMap<>();
+    private final ClaimantTable mClaimants;
     private long mLivenessTimeoutNanos = MIN_LIVENESS_TIMEOUT_NANOS;
     private long mLastDiscoveryNanos = Long.MIN_VALUE / 2;
     private final long mStartedNanos;
@@ -69,8 +56,14 @@
      * @param now the monotonic time in nanoseconds
      */
     public PeerTable(Peer self, long now) {
+        this(self, new ClaimantTable(), now);
+    }
+
+    PeerTable(Peer self, ClaimantTable claimants, long now) {
         mSelf = self;
+        mClaimants = claimants;
         mStartedNanos = now;
+        mClaimants.add(self);
     }
 
     /**
@@ -111,8 +104,10 @@
             return false;
         }
         mLastDiscoveryNanos = known == null ? now : mLastDiscoveryNanos;
-        if (known == null || known.leaving() != leaving || !known.peer().equals(peer)) {
-            mClaimants.clear();
+        if (leaving) {
+            mClaimants.remove(peer);
+        } else {
+            mClaimants.add(peer);
         }
         Optional<Long> heardSelf =
                 heardSelfMillisAgo.map(m -> now - Duration.ofMillis(m).toNanos());
@@ -132,7 +127,7 @@
             long heard = now - mLivenessTimeoutNanos;
             mLastDiscoveryNanos = now;
             mPeers.put(peer.name(), new PeerState(peer, 0, 0, heard, Optional.empty(), false));
-            mClaimants.clear();
+            mClaimants.add(peer);
         }
     }
 
@@ -163,20 +158,7 @@
      * @return the claimants, possibly including this node
      */
     public List<Peer> claimants(String engine, String domain) {
-        if (mClaimants.size() > MAX_CACHED_ENGINES) {
-            mClaimants.clear();
-        }
-        return mClaimants.computeIfAbsent(
-                engine + ' ' + domain,
-                key ->
-                        Stream.concat(
-                                        Stream.of(mSelf),
-                                        mPeers.values().stream()
-                                                .filter(n -> !n.leaving())
-                                                .map(PeerState::peer))
-                                .sorted(byRank(engine, domain))
-                                .limit(MAX_CLAIMANTS)
-                                .toList());
+        return mClaimants.claimants(engine, domain);
     }
 
     /**
@@ -231,15 +213,7 @@
      */
     public int rank(String engine, String domain) {
         int rank = claimants(engine, domain).indexOf(mSelf);
-        return rank < 0 ? MAX_CLAIMANTS : rank;
-    }
-
-    private static Comparator<Peer> byRank(String engine, String domain) {
-        long key = Rendezvous.hash(engine);
-        return Comparator.<Peer, Boolean>comparing(p -> !p.domain().equals(domain))
-                .thenComparing(
-                        p -> Rendezvous.weight(key, Rendezvous.hash(p.name())),
-                        (a, b) -> Long.compareUnsigned(b, a));
+        return rank < 0 ? ClaimantTable.MAX_CLAIMANTS : rank;
     }
 
     /**
@@ -248,9 +222,12 @@
      * @param now the monotonic time in nanoseconds
      */
     public void removeSilent(long now) {
-        if (mPeers.values().removeIf(known -> now - known.heardNanos() > FORGET_AFTER.toNanos())) {
-            mClaimants.clear();
-        }
+        List<PeerState> silent =
+                mPeers.values().stream()
+                        .filter(known -> now - known.heardNanos() > FORGET_AFTER.toNanos())
+                        .toList();
+        silent.forEach(known -> mPeers.remove(known.peer().name()));
+        silent.forEach(known -> mClaimants.remove(known.peer()));
     }
 
     /**
