Place requests with one look at each engine

Cause: one placement summed the work on each engine up to five times, looked up the capacity for each engine, and built the prefix keys of the prompt as strings for each engine; every end of a request placed all waiting requests again, up to three times. With W waiting requests and E engines an event cost W x E of these.

Work is kept as running totals, what depends on the request alone is worked out once (EngineFit), prefixes are hashes, and a burst of changes places the queue once (CoalescedTask). DispatcherTest counts the capacity lookups of a placement: 9, 75 and 300 before, 1 after.

--- a/core/src/main/java/org/fescuehollow/catalog/EngineSpec.java
+++ b/core/src/main/java/org/fescuehollow/catalog/EngineSpec.java
@@ -14,6 +14,9 @@
  */
 public record EngineSpec(
         int slots, long kvCacheTokens, int adapterSlots, Map<String, Long> modelLoadMillis) {
+    /** The specification of servers of which nothing is known. */
+    public static final EngineSpec NONE = new EngineSpec(0, 0, 0, Map.of());
+
     /** Copies the map. */
     public EngineSpec {
         modelLoadMillis = Map.copyOf(modelLoadMillis);
--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.fescuehollow.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -32,9 +31,6 @@
  * safe for concurrent use.
  */
 public final class Dispatcher {
-    /** Estimated delay that each running request adds to the decoding steps of the others. */
-    private static final double MILLIS_PER_RUNNING_REQUEST = 4.0;
-
     /** An engine is overloaded when it runs this many times the mean number of requests. */
     private static final double OVERLOAD_MEAN_RATIO = 1.8;
 
@@ -44,33 +40,13 @@
     /** Share of the objective that the best score must exceed to justify a slot and a load. */
     private static final double REPLICA_OBJECTIVE_SHARE = 0.55;
 
-    /** Engines preempt requests when more than this share of the KV cache is in use. */
-    private static final double MAX_KV_CACHE_SHARE = 0.92;
-
-    /** Score penalty of an engine in another failure domain: the network round trip. */
-    private static final double CROSS_DOMAIN_PENALTY_MILLIS = 3;
-
-    /** Score penalty of an engine that fails all requests; about the latency objective. */
-    private static final double FAILURE_PENALTY_MILLIS = 1_500;
-
-    /** Share of the objective for prefill; the rest covers network and first decoding step. */
-    private static final double PREFILL_OBJECTIVE_SHARE = 0.8;
-
-    /** Approximate time until a requested replica can serve. */
-    private static final double REPLICA_LOAD_MILLIS = 300;
-
-    /** Backlog that an engine may have even for a request that has missed its objective. */
-    private static final double MIN_BACKLOG_LIMIT_MILLIS = 150;
-
     /** Servers with at least this recent failure rate are excluded. */
     private static final double MAX_FAILURE_RATE = 0.3;
 
-    /** Score of a plain service's server that runs as many requests as it has slots. */
-    private static final double FULL_SERVER_MILLIS = 40.0;
-
     private final String mDomain;
     private final ResidencyTable mResidency;
     private final Map<String, EngineLoad> mEngineLoads = new HashMap<>();
+    private Map<String, List<EngineLoad>> mActiveByService = Map.of();
     private final LoadTargetSelector mLoadTargets;
     private final ReplicationDemand mReplicationDemand = new ReplicationDemand();
     private final Map<String, PrefillThroughput> mPrefillThroughputs = new HashMap<>();
@@ -102,6 +78,10 @@
         mResidency.retainEngines(ids);
         engines.forEach(
                 e -> mEngineLoads.computeIfAbsent(e.id(), id -> new EngineLoad(e)).update(e));
+        mActiveByService =
+                mEngineLoads.values().stream()
+                        .filter(load -> !load.engine().draining())
+                        .collect(Collectors.groupingBy(load -> load.engine().service()));
     }
 
     /**
@@ -138,60 +118,64 @@
         if (usable.isEmpty()) {
             return new Placement.Wait(Placement.Reason.NO_SERVER, Optional.empty());
         }
+        EngineFit fit =
+                new EngineFit(
+                        request,
+                        engineSpec(request.service()),
+                        prefillThroughput(request.service()),
+                        mDomain,
+                        now);
         List<EngineLoad> serving = usable.stream().filter(e -> canServe(e, request, now)).toList();
         Optional<EngineLoad> best =
                 serving.stream()
-                        .filter(load -> !isFull(load, request, now))
-                        .min(Comparator.comparingDouble(load -> score(load, request, now)));
+                        .filter(load -> !fit.isFull(load))
+                        .min(Comparator.comparingDouble(fit::score));
         if (best.isEmpty()) {
-            return placeInQueue(request, usable, serving, now);
+            return placeInQueue(request, usable, serving, fit, now);
         }
         mLoadTargets.onAdapterServed(request.adapter());
         boolean needsReplica =
                 mReplicationDemand.isFrequent(request.adapter(), now)
-                        && (score(best.get(), request, now) > replicationThresholdMillis(request)
+                        && (fit.score(best.get()) > replicationThresholdMillis(request)
                                 || isOverloaded(best.get(), usable, now));
         Optional<String> replicaTarget =
                 needsReplica
                         ? mLoadTargets.selectForReplica(
-                                request, usable, load -> score(load, request, now), best.get(), now)
+                                request, usable, fit::score, best.get(), now)
                         : Optional.empty();
         return new Placement.Send(best.get().engine().id(), replicaTarget);
     }
 
     private Placement placeInQueue(
-            DispatchRequest request, List<EngineLoad> usable, List<EngineLoad> serving, long now) {
+            DispatchRequest request,
+            List<EngineLoad> usable,
+            List<EngineLoad> serving,
+            EngineFit fit,
+            long now) {
         if (serving.isEmpty()) {
             Optional<String> target = mLoadTargets.selectForAbsentAdapter(request, usable, now);
             return new Placement.Wait(Placement.Reason.ADAPTER_ABSENT, target);
         }
-        boolean soon = serving.stream().anyMatch(e -> clearsBacklogSoon(e, request, now));
+        boolean soon = serving.stream().anyMatch(fit::clearsBacklogSoon);
         Optional<String> target =
                 soon ? Optional.empty() : mLoadTargets.selectForAbsentAdapter(request, usable, now);
         return new Placement.Wait(Placement.Reason.ENGINES_FULL, target);
     }
 
-    private boolean clearsBacklogSoon(EngineLoad load, DispatchRequest request, long now) {
-        EngineLoad.Work work = load.totalWork(now);
-        return !lacksCapacity(load, work, request)
-                && excessBacklogMillis(load, work, request, now) < REPLICA_LOAD_MILLIS;
-    }
-
     private static boolean isOverloaded(EngineLoad load, List<EngineLoad> usable, long now) {
         int running = load.totalWork(now).running();
+        if (running < OVERLOAD_MIN_RUNNING) {
+            return false;
+        }
         double mean = usable.stream().mapToInt(u -> u.totalWork(now).running()).average().orElse(0);
-        return running >= OVERLOAD_MIN_RUNNING && running > mean * OVERLOAD_MEAN_RATIO;
+        return running > mean * OVERLOAD_MEAN_RATIO;
     }
 
     private List<EngineLoad> usableEngines(String service, Set<String> avoided, long now) {
-        List<EngineLoad> active = new ArrayList<>();
-        for (EngineLoad load : mEngineLoads.values()) {
-            if (load.engine().service().equals(service) && !load.engine().draining()) {
-                active.add(load);
-            }
-        }
         List<EngineLoad> reachable =
-                active.stream().filter(load -> !load.health().isInBackoff(now)).toList();
+                mActiveByService.getOrDefault(service, List.of()).stream()
+                        .filter(load -> !load.health().isInBackoff(now))
+                        .toList();
         List<EngineLoad> healthy = excludeFailing(reachable, now);
         List<EngineLoad> preferred =
                 healthy.stream().filter(load -> !avoided.contains(load.engine().id())).toList();
@@ -218,60 +202,14 @@
                 load.engine().id(), request.adapter(), request.minVersion(), now);
     }
 
-    private boolean isFull(EngineLoad load, DispatchRequest request, long now) {
-        EngineLoad.Work work = load.totalWork(now);
-        boolean hasExcessBacklog =
-                request.needsModelEngine() && excessBacklogMillis(load, work, request, now) > 0;
-        return hasExcessBacklog || lacksCapacity(load, work, request);
-    }
-
-    private boolean lacksCapacity(EngineLoad load, EngineLoad.Work work, DispatchRequest request) {
-        long capacity = mSpecs.apply(request.service()).map(EngineSpec::kvCacheTokens).orElse(0L);
-        boolean noSlot = load.engine().slots() > 0 && work.running() >= load.engine().slots();
-        boolean noKvCache =
-                request.needsModelEngine()
-                        && work.running() > 0
-                        && work.kvCacheTokens() + request.kvCacheTokens()
-                                > capacity * MAX_KV_CACHE_SHARE;
-        return noSlot || noKvCache;
-    }
-
-    /** Returns the prefill backlog minus the backlog that this request's objective allows. */
-    private double excessBacklogMillis(
-            EngineLoad load, EngineLoad.Work work, DispatchRequest request, long now) {
-        PrefillThroughput throughput = prefillThroughput(request.service());
-        double objective =
-                (request.objectiveNanos() - request.arrivalNanos()) / 1e6 * PREFILL_OBJECTIVE_SHARE;
-        double remaining = objective - (now - request.arrivalNanos()) / 1e6;
-        double backlogLimit =
-                Math.max(
-                        MIN_BACKLOG_LIMIT_MILLIS,
-                        remaining - throughput.prefillMillis(load.uncachedTokens(request)));
-        return work.pendingPrefillTokens() > 0
-                ? throughput.prefillMillis(work.pendingPrefillTokens()) - backlogLimit
-                : 0;
+    private EngineSpec engineSpec(String service) {
+        return mSpecs.apply(service).orElse(EngineSpec.NONE);
     }
 
     private PrefillThroughput prefillThroughput(String service) {
         return mPrefillThroughputs.computeIfAbsent(service, s -> new PrefillThroughput());
     }
 
-    /** Returns the estimated delay of a request on an engine, in milliseconds. */
-    private double score(EngineLoad load, DispatchRequest request, long now) {
-        EngineLoad.Work work = load.totalWork(now);
-        double penalty = load.engine().domain().equals(mDomain) ? 0 : CROSS_DOMAIN_PENALTY_MILLIS;
-        double prefill =
-                request.needsModelEngine()
-                        ? prefillThroughput(request.service())
-                                .prefillMillis(
-                                        work.pendingPrefillTokens() + load.uncachedTokens(request))
-                        : work.running() * FULL_SERVER_MILLIS / Math.max(1, load.engine().slots());
-        return prefill
-                + work.running() * MILLIS_PER_RUNNING_REQUEST
-                + penalty
-                + load.health().failureRate(now) * FAILURE_PENALTY_MILLIS;
-    }
-
     private static double replicationThresholdMillis(DispatchRequest request) {
         return (request.objectiveNanos() - request.arrivalNanos()) / 1e6 * REPLICA_OBJECTIVE_SHARE;
     }
@@ -284,7 +222,7 @@
      * @param now the monotonic time in nanoseconds
      */
     public void onSent(String engine, DispatchRequest request, long now) {
-        long capacity = mSpecs.apply(request.service()).map(EngineSpec::kvCacheTokens).orElse(0L);
+        long capacity = engineSpec(request.service()).kvCacheTokens();
         findLoad(engine).ifPresent(load -> load.onSent(request, capacity, now));
     }
 
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
@@ -86,6 +86,9 @@
      * @return from 0 to 1; close to 0 after few requests
      */
     public double failureRate(long now) {
+        if (mDecayedFailures == 0) {
+            return 0;
+        }
         double factor = Math.pow(0.5, (now - mLastDecayNanos) / HALF_LIFE_NANOS);
         return mDecayedFailures * factor / (mDecayedRequests * factor + 2);
     }
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +32,9 @@
     private final Map<String, InFlightRequest> mOwnRequests = new HashMap<>();
     private final Map<String, WorkReport> mPeerReports = new HashMap<>();
     private WorkReport mFleetReport = new WorkReport(Work.NONE, Set.of(), Long.MIN_VALUE / 2);
+    private Work mOwnWork = Work.NONE;
+    private Work mTotalWork = Work.NONE;
+    private long mTotalWorkExpiryNanos = Long.MIN_VALUE;
 
     /**
      * One node's work on an engine.
@@ -63,10 +67,11 @@
      * first event.
      */
     private record InFlightRequest(
-            DispatchRequest request,
-            int pendingPrefillTokens,
-            long backlogTokens,
-            long sentNanos) {}
+            DispatchRequest request, int pendingPrefillTokens, long backlogTokens, long sentNanos) {
+        private Work work() {
+            return new Work(1, pendingPrefillTokens, request.kvCacheTokens());
+        }
+    }
 
     /** Tokens that the engine prefilled from sending a request to its first event, and the time. */
     record PrefillSample(long tokens, double millis) {}
@@ -93,18 +98,34 @@
         return mHealth;
     }
 
-    int uncachedTokens(DispatchRequest request) {
-        return Math.max(
-                0,
-                request.promptTokens()
-                        - mPrefixCache.cachedTokens(request.adapter(), request.promptSegments()));
+    int uncachedTokens(DispatchRequest request, PromptPrefix prefix) {
+        return Math.max(0, request.promptTokens() - mPrefixCache.cachedTokens(prefix));
     }
 
     void onSent(DispatchRequest request, long kvCacheTokens, long now) {
-        int uncached = uncachedTokens(request);
+        PromptPrefix prefix = PromptPrefix.of(request.adapter(), request.promptSegments());
+        int uncached = uncachedTokens(request, prefix);
         long backlog = totalWork(now).pendingPrefillTokens() + uncached;
-        mOwnRequests.put(request.id(), new InFlightRequest(request, uncached, backlog, now));
-        mPrefixCache.addPrompt(request.adapter(), request.promptSegments(), kvCacheTokens);
+        putOwnRequest(new InFlightRequest(request, uncached, backlog, now));
+        mPrefixCache.addPrompt(prefix, kvCacheTokens);
+    }
+
+    private void putOwnRequest(InFlightRequest inFlight) {
+        removeOwnRequest(inFlight.request().id());
+        mOwnRequests.put(inFlight.request().id(), inFlight);
+        mOwnWork = mOwnWork.plus(inFlight.work());
+    }
+
+    private void removeOwnRequest(String id) {
+        InFlightRequest inFlight = mOwnRequests.remove(id);
+        if (inFlight != null) {
+            mOwnWork = mOwnWork.minus(inFlight.work());
+        }
+        forgetTotalWork();
+    }
+
+    private void forgetTotalWork() {
+        mTotalWorkExpiryNanos = Long.MIN_VALUE;
     }
 
     /** Records the first event of a request; returns the prefill done since it was sent. */
@@ -113,36 +134,33 @@
         if (inFlight == null || inFlight.backlogTokens() == 0) {
             return Optional.empty();
         }
-        mOwnRequests.put(request.id(), new InFlightRequest(request, 0, 0, inFlight.sentNanos()));
+        putOwnRequest(new InFlightRequest(request, 0, 0, inFlight.sentNanos()));
         return Optional.of(
                 new PrefillSample(inFlight.backlogTokens(), (now - inFlight.sentNanos()) / 1e6));
     }
 
     void onEnded(DispatchRequest request) {
-        mOwnRequests.remove(request.id());
+        removeOwnRequest(request.id());
     }
 
     void updatePeerWork(String node, Work work, Set<AdapterKey> adapters, long now) {
-        if (work.equals(Work.NONE) && adapters.isEmpty()) {
-            mPeerReports.remove(node);
-        } else {
+        if (!work.equals(Work.NONE) || !adapters.isEmpty()) {
             mPeerReports.put(node, new WorkReport(work, adapters, now));
+            forgetTotalWork();
+        } else if (mPeerReports.remove(node) != null) {
+            forgetTotalWork();
         }
     }
 
     /** Updates the work of all nodes as the engine's holder reports it. */
     void updateFleetWork(Work fleetWork, long now) {
         mFleetReport = new WorkReport(fleetWork.minus(ownWork()), Set.of(), now);
+        forgetTotalWork();
     }
 
     /** Returns this node's own work. */
     Work ownWork() {
-        return new Work(
-                mOwnRequests.size(),
-                mOwnRequests.values().stream()
-                        .mapToLong(InFlightRequest::pendingPrefillTokens)
-                        .sum(),
-                mOwnRequests.values().stream().mapToLong(r -> r.request().kvCacheTokens()).sum());
+        return mOwnWork;
     }
 
     /** Returns the adapters that this node's requests use. */
@@ -157,16 +175,31 @@
      * holder receives the reports of all nodes, and its summary is some seconds old.
      */
     Work totalWork(long now) {
-        mPeerReports
-                .values()
-                .removeIf(report -> now - report.receivedNanos() > SILENT_NODE_TTL_NANOS);
+        if (now > mTotalWorkExpiryNanos) {
+            mPeerReports
+                    .values()
+                    .removeIf(report -> now - report.receivedNanos() > SILENT_NODE_TTL_NANOS);
+            updateTotalWork(now);
+        }
+        return mTotalWork;
+    }
+
+    private void updateTotalWork(long now) {
         if (now - mFleetReport.receivedNanos() <= SILENT_NODE_TTL_NANOS) {
-            return ownWork().plus(mFleetReport.work());
+            mTotalWork = mOwnWork.plus(mFleetReport.work());
+            mTotalWorkExpiryNanos = mFleetReport.receivedNanos() + SILENT_NODE_TTL_NANOS;
+            return;
         }
-        return mPeerReports.values().stream()
-                .filter(report -> now - report.receivedNanos() <= REPORT_TTL_NANOS)
-                .map(WorkReport::work)
-                .reduce(ownWork(), Work::plus);
+        List<WorkReport> current =
+                mPeerReports.values().stream()
+                        .filter(report -> now - report.receivedNanos() <= REPORT_TTL_NANOS)
+                        .toList();
+        mTotalWork = current.stream().map(WorkReport::work).reduce(mOwnWork, Work::plus);
+        mTotalWorkExpiryNanos =
+                current.stream()
+                        .mapToLong(report -> report.receivedNanos() + REPORT_TTL_NANOS)
+                        .min()
+                        .orElse(Long.MAX_VALUE);
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/PrefixCacheEstimate.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/PrefixCacheEstimate.java
@@ -1,9 +1,7 @@
 package org.fescuehollow.dispatch;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
-import org.fescuehollow.catalog.AdapterKey;
 
 /**
  * Estimates the prompt prefixes in an engine's KV cache from the prompts sent to it.
@@ -12,35 +10,31 @@
  * prefixes are evicted first, as on the engine. Not safe for concurrent use.
  */
 final class PrefixCacheEstimate {
-    private final LinkedHashMap<String, Integer> mTokensByPrefix =
+    private final LinkedHashMap<Long, Integer> mTokensByPrefix =
             new LinkedHashMap<>(64, 0.75f, true);
     private long mTotalTokens;
 
     /** Returns how many leading tokens of the prompt are probably cached. */
-    int cachedTokens(AdapterKey adapter, List<PromptSegment> segments) {
+    int cachedTokens(PromptPrefix prefix) {
         int cached = 0;
-        String key = adapter.toString();
-        for (PromptSegment segment : segments) {
-            key = key + ' ' + segment.id();
-            if (!mTokensByPrefix.containsKey(key)) {
+        for (int i = 0; i < prefix.segmentCount(); i++) {
+            if (!mTokensByPrefix.containsKey(prefix.hash(i))) {
                 return cached;
             }
-            cached += segment.tokens();
+            cached += prefix.tokens(i);
         }
         return cached;
     }
 
     /** Records a prompt sent to the engine. */
-    void addPrompt(AdapterKey adapter, List<PromptSegment> segments, long kvCacheTokens) {
-        String key = adapter.toString();
-        for (PromptSegment segment : segments) {
-            key = key + ' ' + segment.id();
-            if (mTokensByPrefix.put(key, segment.tokens()) == null) {
-                mTotalTokens += segment.tokens();
+    void addPrompt(PromptPrefix prefix, long kvCacheTokens) {
+        for (int i = 0; i < prefix.segmentCount(); i++) {
+            if (mTokensByPrefix.put(prefix.hash(i), prefix.tokens(i)) == null) {
+                mTotalTokens += prefix.tokens(i);
             }
         }
         while (mTotalTokens > kvCacheTokens && !mTokensByPrefix.isEmpty()) {
-            Map.Entry<String, Integer> leastRecent = mTokensByPrefix.entrySet().iterator().next();
+            Map.Entry<Long, Integer> leastRecent = mTokensByPrefix.entrySet().iterator().next();
             mTotalTokens -= leastRecent.getValue();
             mTokensByPrefix.remove(leastRecent.getKey());
         }
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -9,12 +9,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.EngineSpec;
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DispatcherTest {
     private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
@@ -62,6 +66,21 @@
         return engine;
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {9, 75, 300})
+    void place_looksUpTheCapacityOnceForAllEngines(int engines) {
+        AtomicInteger lookups = new AtomicInteger();
+        EngineSpec spec = new EngineSpec(4, 50_000, 2, Map.of());
+        mDispatcher.updateEngines(
+                IntStream.range(0, engines).mapToObj(i -> engine("e" + i, "north", false)).toList(),
+                s -> {
+                    lookups.incrementAndGet();
+                    return Optional.of(spec);
+                });
+        mDispatcher.place(request(new AdapterKey("m", ""), 100), Set.of(), 0);
+        then(lookups).hasValue(1);
+    }
+
     @Test
     void place_waitsWithoutServers() {
         then(mDispatcher.place(request(ADAPTER, 100), Set.of(), 0))
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -36,6 +36,7 @@
     private final Map<String, WindowedRetryBudget> mRetryBudgets = new HashMap<>();
     private final EngineInactivityDetector mInactivityDetector;
     private final Map<EngineInactivityDetector.Stream, Attempt> mStreams = new HashMap<>();
+    private final CoalescedTask mDispatch;
     private int mOpenRequests;
     private boolean mDraining;
     private boolean mClosed;
@@ -56,6 +57,10 @@
         mInactivityDetector =
                 new EngineInactivityDetector(
                         Duration.ofMillis(SILENCE_CHECK_MILLIS), node.clock().now());
+        mDispatch =
+                new CoalescedTask(
+                        task -> node.vertx().runOnContext(v -> task.run()),
+                        () -> mWaitQueue.removeAccepted(ProxiedRequest::tryPlace, now()));
     }
 
     NodeContext node() {
@@ -132,10 +137,10 @@
                 .forEach(Attempt::onSilence);
     }
 
-    /** Tries to place all waiting requests, in queue order. */
+    /** Tries to place all waiting requests soon, in queue order. */
     void dispatchWaiting() {
         if (mWaitQueue.size() > 0) {
-            mWaitQueue.removeAccepted(ProxiedRequest::tryPlace, now());
+            mDispatch.trigger();
         }
     }
 
