Read the engines at half the drain time; the first reader of a leaving engine tells the others

The only bound on the pause is that a draining engine gets no request after the drain time.

The pause is half of that time, a setting now. A VM that reads that an engine is draining or gone tells all live nodes; they take it out of use until they read it themselves. Such a report can't bring anything back: one that a node's own reads don't confirm is dropped.

Ruled out: stale reads, which may be older than the drain time; few readers for a domain, as a VM would then depend on a peer that is cut off.

Work on engines is sent as one message each 20 ms instead of one for each start, first event and end of a request; a small fleet sent 3 datagrams a request to each peer.

--- a/core/src/main/java/org/fescuehollow/catalog/Engine.java
+++ b/core/src/main/java/org/fescuehollow/catalog/Engine.java
@@ -47,4 +47,24 @@
     public boolean isSameIncarnation(Engine other) {
         return id.equals(other.id) && startedMillis == other.startedMillis;
     }
+
+    /**
+     * Returns this engine as one that accepts no new requests.
+     *
+     * @return the draining engine
+     */
+    public Engine asDraining() {
+        return new Engine(
+                id,
+                startedMillis,
+                service,
+                host,
+                port,
+                domain,
+                slots,
+                true,
+                orderCount,
+                models,
+                adapters);
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -8,11 +8,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.exchange.GossipSchedule;
@@ -52,6 +54,9 @@
     /** Largest UDP payload over IPv4; datagrams beyond the receive buffer are truncated. */
     private static final int MAX_DATAGRAM_BYTES = 65_507;
 
+    /** Changes of the work within this time are sent as one message. */
+    private static final long WORK_INTERVAL_MILLIS = 20;
+
     /** A starting node mentions all nodes it knows, as others that start with it know few. */
     private static final long STARTUP_NANOS = Duration.ofSeconds(4).toNanos();
 
@@ -62,6 +67,7 @@
     private final GossipSchedule mSchedule = new GossipSchedule();
     private final long mIncarnation = System.currentTimeMillis();
     private final Set<String> mLiveNodes = new HashSet<>();
+    private final Set<String> mChangedWork = new LinkedHashSet<>();
     private List<String> mSeeds;
     private DatagramSocket mSocket;
     private StateMessageHandler mMessageHandler;
@@ -101,6 +107,7 @@
         mMessageHandler =
                 new StateMessageHandler(
                         mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders);
+        mCatalog.onEngineLeaving(this::sendEngineLeaving);
         mStartedNanos = mContext.clock().now();
         mSocket = mContext.vertx().createDatagramSocket(socketOptions());
         mSocket.handler(p -> onDatagram(p.data()));
@@ -232,19 +239,9 @@
             mMentioned.stream()
                     .filter(p -> !to.equals(Optional.of(p)))
                     .forEach(p -> message.addPeers(encodePeer(p, mNow)));
-            to.ifPresent(p -> mWork.forEach(w -> workFor(p, w).ifPresent(message::addWork)));
+            to.ifPresent(p -> mWork.forEach(w -> workFor(p, w, mNow).forEach(message::addWork)));
             return message.build().toByteArray();
         }
-
-        private Optional<EngineWork> workFor(Peer to, EngineWork work) {
-            if (!sendsWorkToAll()) {
-                return Optional.of(work).filter(w -> isHolder(to, w.getEngine(), mNow));
-            }
-            return Optional.of(
-                    mayClaim(to, work.getEngine())
-                            ? work
-                            : StateMessageCodec.withoutAdapters(work));
-        }
     }
 
     /**
@@ -344,6 +341,10 @@
         sendToLive(messageBuilder().addHoldings(encodeHolding(engine, holding, now)).build());
     }
 
+    private void sendEngineLeaving(Engine engine) {
+        sendToLive(messageBuilder().addLeavingEngines(StateMessageCodec.leaving(engine)).build());
+    }
+
     private void sendToLive(NodeNews message) {
         byte[] bytes = message.toByteArray();
         mPeers.peers().stream()
@@ -352,23 +353,43 @@
     }
 
     /**
-     * Sends this node's work on an engine to its holder, and in a small fleet to all live nodes.
+     * Sends this node's work on an engine soon, to its holder and in a small fleet to all live
+     * nodes. One message carries all changes since the last one.
      *
      * @param engine the engine's id
      */
     public void sendWork(String engine) {
+        if (mChangedWork.isEmpty()) {
+            mContext.vertx().setTimer(WORK_INTERVAL_MILLIS, t -> sendChangedWork());
+        }
+        mChangedWork.add(engine);
+    }
+
+    private void sendChangedWork() {
         long now = mContext.clock().now();
-        EngineWork work = ownWork(engine);
-        byte[] withAdapters = messageBuilder().addWork(work).build().toByteArray();
-        byte[] withoutAdapters =
-                messageBuilder()
-                        .addWork(StateMessageCodec.withoutAdapters(work))
-                        .build()
-                        .toByteArray();
+        List<EngineWork> changed = mChangedWork.stream().map(this::ownWork).toList();
+        mChangedWork.clear();
         mPeers.peers().stream()
                 .filter(p -> mLiveNodes.contains(p.name()))
-                .filter(p -> sendsWorkToAll() || isHolder(p, engine, now))
-                .forEach(p -> send(mayClaim(p, engine) ? withAdapters : withoutAdapters, p.ip()));
+                .forEach(
+                        p -> {
+                            List<EngineWork> work =
+                                    changed.stream().flatMap(w -> workFor(p, w, now)).toList();
+                            if (!work.isEmpty()) {
+                                send(
+                                        messageBuilder().addAllWork(work).build().toByteArray(),
+                                        p.ip());
+                            }
+                        });
+    }
+
+    /** Returns the part of this node's work on an engine that another node needs to know. */
+    private Stream<EngineWork> workFor(Peer to, EngineWork work, long now) {
+        if (!sendsWorkToAll()) {
+            return Stream.of(work).filter(w -> isHolder(to, w.getEngine(), now));
+        }
+        return Stream.of(
+                mayClaim(to, work.getEngine()) ? work : StateMessageCodec.withoutAdapters(work));
     }
 
     private void onDatagram(Buffer data) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
@@ -6,11 +6,13 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.dispatch.EngineLoad;
 import org.fescuehollow.residency.AdapterDemand;
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.wire.ExchangeProto.Adapter;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
+import org.fescuehollow.wire.ExchangeProto.EngineLeaving;
 import org.fescuehollow.wire.ExchangeProto.EngineWant;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
 
@@ -56,6 +58,13 @@
                 .collect(Collectors.toSet());
     }
 
+    static EngineLeaving leaving(Engine engine) {
+        return EngineLeaving.newBuilder()
+                .setEngine(engine.id())
+                .setStartedMs(engine.startedMillis())
+                .build();
+    }
+
     static EngineWant demand(String engine, AdapterDemand demand, long now) {
         long remainingMillis = Duration.ofNanos(demand.deadlineNanos() - now).toMillis();
         return EngineWant.newBuilder()
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -93,6 +93,8 @@
                     .flatMap(Set::stream)
                     .forEach(e -> mOrders.onRivalReleased(e));
         }
+        message.getLeavingEnginesList()
+                .forEach(e -> mCatalog.onEngineLeavingReported(e.getEngine(), e.getStartedMs()));
         message.getWantsList()
                 .forEach(
                         w ->
--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
@@ -23,6 +23,8 @@
  * @param storeAddress the address of the platform's key-value store
  * @param settlingMillis the time within which changes must be in force after the store is reachable
  *     again, in milliseconds
+ * @param drainMillis the time after which a draining engine must get no more requests, in
+ *     milliseconds
  * @param leaseMillis the time within which two nodes must not give orders to the same engine, in
  *     milliseconds
  * @param retryRatio the retries allowed per request, over all nodes
@@ -41,6 +43,7 @@
         List<String> seeds,
         Address storeAddress,
         long settlingMillis,
+        long drainMillis,
         long leaseMillis,
         double retryRatio,
         double retrySlack,
@@ -108,6 +111,7 @@
                 seeds.stream().map(s -> Address.parse("seeds", (String) s).host()).toList(),
                 Address.parse("store", json.getString("store")),
                 bounds.getNumber("settlingMillis", 3_000).longValue(),
+                bounds.getNumber("drainMillis", 2_000).longValue(),
                 bounds.getNumber("leaseMillis", 3_000).longValue(),
                 bounds.getNumber("retryRatio", 0.1).doubleValue(),
                 bounds.getNumber("retrySlack", 10).doubleValue(),
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Configuration;
 import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.catalog.LeaveReports;
 import org.fescuehollow.catalog.WatchScheduler;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.kernel.Kernel;
@@ -32,10 +34,10 @@
     public static final String NAME = "catalog";
 
     /**
-     * Pause between two reads of the engines: their entries change often, and the platform charges
-     * for each call.
+     * Pause between two reads of the engines as a share of the time that a draining engine goes on
+     * serving: their entries change often, and the platform charges for each call.
      */
-    private static final Duration ENGINE_READ_PAUSE = Duration.ofMillis(700);
+    private static final double ENGINE_READ_PAUSE_DRAIN_SHARE = 0.5;
 
     /**
      * When the store becomes reachable again, entries of running servers may be missing for up to
@@ -47,8 +49,10 @@
     private final Map<String, Engine> mEngines = new HashMap<>();
     private final Map<String, Long> mMissingSince = new HashMap<>();
     private final Map<AdapterKey, Long> mAdapterVersions = new HashMap<>();
+    private final LeaveReports mLeaveReports = new LeaveReports();
     private Optional<Configuration> mConfiguration = Optional.empty();
     private Runnable mChangeListener = () -> {};
+    private Consumer<Engine> mLeavingListener = e -> {};
     private PrefixWatch mOperatorWatch;
     private PrefixWatch mServerWatch;
 
@@ -75,6 +79,16 @@
         mChangeListener = listener;
     }
 
+    /**
+     * Registers a listener for engines that are leaving.
+     *
+     * @param listener receives each engine that this node reads to be draining or gone and that no
+     *     other node reported before; called on the event loop
+     */
+    public void onEngineLeaving(Consumer<Engine> listener) {
+        mLeavingListener = listener;
+    }
+
     @Override
     public void start(Kernel kernel) {
         StoreClient store =
@@ -98,12 +112,22 @@
                         store,
                         StoreKeys.ENGINES,
                         new WatchScheduler(settling, now),
-                        ENGINE_READ_PAUSE,
+                        engineReadPause(),
                         this::onServerChange);
         mContext.vertx().runOnContext(v -> mOperatorWatch.start());
         mContext.vertx().runOnContext(v -> mServerWatch.start());
     }
 
+    private Duration engineReadPause() {
+        double millis = mContext.settings().drainMillis() * ENGINE_READ_PAUSE_DRAIN_SHARE;
+        return Duration.ofMillis((long) millis);
+    }
+
+    /** Returns the time within which a change is read while the store is reachable. */
+    private Duration engineReadTime() {
+        return engineReadPause().plusMillis(mContext.settings().settlingMillis());
+    }
+
     @Override
     public void stop() {
         mOperatorWatch.stop();
@@ -189,8 +213,48 @@
         }
     }
 
+    /**
+     * Handles the report of another node that an engine is draining or gone, which it read before
+     * this node did.
+     *
+     * @param id the engine's id
+     * @param startedMillis the Unix time of its start
+     */
+    public void onEngineLeavingReported(String id, long startedMillis) {
+        Engine engine = mEngines.get(id);
+        if (engine == null || engine.startedMillis() != startedMillis || engine.draining()) {
+            return;
+        }
+        mLeaveReports.add(engine, mContext.clock().now());
+        mEngines.put(id, engine.asDraining());
+        mContext.log().event("engine_leaving_reported", "id", id);
+        mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
+        mChangeListener.run();
+    }
+
+    private void dropRefutedReports() {
+        long now = mContext.clock().now();
+        if (!mServerWatch.isReachableFor(now, engineReadTime())) {
+            mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
+            return;
+        }
+        List<Engine> refuted = mLeaveReports.removeOlderThan(engineReadTime(), now);
+        refuted.forEach(
+                e -> {
+                    mEngines.put(e.id(), e);
+                    mContext.log().event("engine_leaving_refuted", "id", e.id());
+                });
+        if (!refuted.isEmpty()) {
+            mChangeListener.run();
+        }
+    }
+
     private void registerEngine(Engine engine) {
         Engine before = mEngines.put(engine.id(), engine);
+        mLeaveReports.onRead(engine.id());
+        if (before != null && !before.draining() && engine.draining()) {
+            mLeavingListener.accept(engine);
+        }
         if (before == null
                 || !before.isSameIncarnation(engine)
                 || before.draining() != engine.draining()) {
@@ -225,8 +289,14 @@
     }
 
     private void removeEngine(String id, String reason) {
-        if (mEngines.remove(id) != null) {
-            mContext.log().event("engine_gone", "id", id, "how", reason);
+        Engine engine = mEngines.remove(id);
+        mLeaveReports.onRead(id);
+        if (engine == null) {
+            return;
+        }
+        mContext.log().event("engine_gone", "id", id, "how", reason);
+        if (!engine.draining()) {
+            mLeavingListener.accept(engine);
         }
     }
 
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -21,6 +21,9 @@
  * reports itself.
  */
 public final class EngineStandIn {
+    /** The Unix time at which all stand-ins claim to have started. */
+    public static final long STARTED_MILLIS = 1_000;
+
     /** A request that the server received. */
     public record ReceivedRequest(String id, String uri, String body, MultiMap headers) {}
 
@@ -54,7 +57,7 @@
                 .put("slots", 8)
                 .put("state", "ready")
                 .put("seq-no", 0)
-                .put("born", 1)
+                .put("born", STARTED_MILLIS)
                 .put("models", models)
                 .encode();
     }
@@ -93,7 +96,7 @@
             handleOrder(request, body.toJsonObject());
         } else if (request.path().endsWith("/report")) {
             JsonObject report = new JsonObject().put("models", models()).put("seq-no", mOrderCount);
-            request.response().end(report.put("born", 1).encode());
+            request.response().end(report.put("born", STARTED_MILLIS).encode());
         } else {
             String id = request.getHeader("X-Fescuehollow-Attempt-Id");
             ReceivedRequest received =
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,6 +5,9 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -38,6 +41,7 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private int mLatencyObjectiveMillis = 15_000;
+    private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final int mListenPort = freePort();
     private final int mReadinessPort = freePort();
@@ -110,6 +114,12 @@
         return this;
     }
 
+    /** Sets the bounds in the settings of nodes that are started from now on. */
+    public TestCluster bounds(JsonObject bounds) {
+        mBounds = bounds;
+        return this;
+    }
+
     private JsonObject route(
             String host, String type, String prefix, String service, int attempts) {
         return new JsonObject()
@@ -145,9 +155,20 @@
                 .put("exchangePorts", new JsonArray().add(mExchangePort))
                 .put("seeds", new JsonArray().add("127.0.0.1:1"))
                 .put("store", mStore.address())
+                .put("bounds", mBounds)
                 .encode();
     }
 
+    /** Sends a datagram to a node as another node would. */
+    public void sendDatagram(int node, byte[] data) {
+        try (DatagramSocket socket = new DatagramSocket()) {
+            InetAddress ip = InetAddress.getByName("127.0.0." + (node + 1));
+            socket.send(new DatagramPacket(data, data.length, ip, mExchangePort));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     public EntryNode node(int i) {
         return mNodes.get(i);
     }
