Train the class archive with the whole request path

Cause: the archive came from a node without a store, engine or peer, so the classes and lambdas of reads, requests, orders and state messages were linked at first use by every process.

--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -22,6 +22,7 @@
 import org.fescuehollow.gateway.node.NodeSettings;
 import org.fescuehollow.gateway.orders.OrderService;
 import org.fescuehollow.gateway.store.CatalogService;
+import org.fescuehollow.gateway.training.CdsTraining;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.residency.ResidencyTable;
 
