Follow a store that returns from an older copy

Cause: the watch went on from the highest revision it had seen. A store that returns from an older copy gives out revisions again; once it had climbed past ours there was no 410, and all that was written again below our revision was missed for good.

The store's era is part of each answer now. PrefixReader lists all entries again in a new era and drops answers of an older one, whichever call they belong to; what is known stays in force until that listing is complete. EngineTable keeps an engine that was read to be draining or gone out of use though the copy lists it as ready, until its entry is written again or outlasts the expiry of one that nobody writes; missing entries get the grace of a return. A configuration below the one in force is logged and ignored.

--- a/core/src/main/java/org/fescuehollow/catalog/LeaveReports.java
+++ b/core/src/main/java/org/fescuehollow/catalog/LeaveReports.java
@@ -30,6 +30,16 @@
         mReports.putIfAbsent(engine.id(), new Report(engine, now));
     }
 
+    /**
+     * Returns whether an engine is reported to be leaving.
+     *
+     * @param engine the engine's id
+     * @return true until this node reads the engine or drops the report
+     */
+    public boolean contains(String engine) {
+        return mReports.containsKey(engine);
+    }
+
     /**
      * Drops the report of an engine that this node has read now.
      *
--- a/core/src/main/java/org/fescuehollow/catalog/WatchScheduler.java
+++ b/core/src/main/java/org/fescuehollow/catalog/WatchScheduler.java
@@ -101,6 +101,16 @@
         return new Call(id, wait.toMillis(), wait.plus(RESPONSE_TIMEOUT).toMillis());
     }
 
+    /**
+     * Returns whether a call still counts.
+     *
+     * @param id the call's id
+     * @return false if it failed or another response arrived since it was sent
+     */
+    public boolean isOpen(long id) {
+        return mOpenCalls.contains(id);
+    }
+
     /**
      * Records a response.
      *
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -1,5 +1,7 @@
 package org.fescuehollow.gateway.store;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -10,7 +12,8 @@
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Configuration;
 import org.fescuehollow.catalog.Engine;
-import org.fescuehollow.catalog.LeaveReports;
+import org.fescuehollow.catalog.EngineTable;
+import org.fescuehollow.catalog.PrefixReader;
 import org.fescuehollow.catalog.WatchScheduler;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.kernel.Kernel;
@@ -39,22 +42,15 @@
      */
     private static final double ENGINE_READ_PAUSE_DRAIN_SHARE = 0.5;
 
-    /**
-     * When the store becomes reachable again, entries of running servers may be missing for up to
-     * this time.
-     */
-    private static final Duration STORE_RETURN_GRACE = Duration.ofMillis(2_600);
-
     private final NodeContext mContext;
-    private final Map<String, Engine> mEngines = new HashMap<>();
-    private final Map<String, Long> mMissingSince = new HashMap<>();
+    private final EngineTable mEngines = new EngineTable(new EngineListener());
     private final Map<AdapterKey, Long> mAdapterVersions = new HashMap<>();
-    private final LeaveReports mLeaveReports = new LeaveReports();
     private Optional<Configuration> mConfiguration = Optional.empty();
     private Runnable mChangeListener = () -> {};
     private Consumer<Engine> mLeavingListener = e -> {};
     private PrefixWatch mOperatorWatch;
     private PrefixWatch mServerWatch;
+    private boolean mExpiryScheduled;
 
     /**
      * Creates the service.
@@ -143,7 +139,7 @@
                 .setState("configuration", mConfiguration.map(Configuration::version).orElse(-1L));
     }
 
-    private void onOperatorChange(PrefixWatch.Change change) {
+    private void onOperatorChange(PrefixReader.Change<StoreItem> change) {
         change.items().forEach(this::applyOperatorItem);
         mChangeListener.run();
     }
@@ -177,87 +173,69 @@
                             before,
                             "routes",
                             next.routeCount());
+        } else if (next.version() < before) {
+            mContext.log()
+                    .event("old_configuration", "version", next.version(), "in_force", before);
         }
     }
 
-    private void onServerChange(PrefixWatch.Change change) {
+    private void onServerChange(PrefixReader.Change<StoreItem> change) {
         long now = mContext.clock().now();
         if (change.complete()) {
-            List<String> present = change.items().stream().map(i -> engineId(i.key())).toList();
-            mEngines.keySet().stream()
-                    .filter(id -> !present.contains(id))
-                    .forEach(id -> mMissingSince.putIfAbsent(id, now));
-        }
-        change.items().forEach(i -> applyServerItem(i, now));
-        if (!mMissingSince.isEmpty()) {
-            mContext.vertx().setTimer(STORE_RETURN_GRACE.toMillis() + 1, t -> removeMissing());
+            mEngines.onListed(
+                    change.items().stream().map(i -> engineId(i.key())).collect(toSet()), now);
         }
+        change.items().forEach(i -> applyServerItem(i, change.returned(), now));
+        scheduleExpiry();
         mChangeListener.run();
     }
 
-    private void applyServerItem(StoreItem item, long now) {
+    private void applyServerItem(StoreItem item, boolean mayBeOld, long now) {
         String id = engineId(item.key());
-        mMissingSince.remove(id);
         if (item.removed()) {
-            if (mServerWatch.isReachableFor(now, STORE_RETURN_GRACE)) {
-                removeEngine(id, "removed");
-            } else {
-                mMissingSince.put(id, now);
-            }
+            boolean stable = mServerWatch.isReachableFor(now, EngineTable.RETURN_GRACE);
+            mEngines.onRemoved(id, stable, now);
             return;
         }
         try {
-            item.value().map(v -> EngineCodec.decodeEntry(id, v)).ifPresent(this::registerEngine);
+            item.value()
+                    .map(v -> EngineCodec.decodeEntry(id, v))
+                    .ifPresentOrElse(
+                            e -> mEngines.onEntry(e, mayBeOld, now),
+                            () -> mEngines.onUnreadable(id));
         } catch (DecodeException e) {
+            mEngines.onUnreadable(id);
             onUnreadable(item, e);
         }
     }
 
-    /**
-     * Handles the report of another node that an engine is draining or gone, which it read before
-     * this node did.
-     *
-     * @param id the engine's id
-     * @param startedMillis the Unix time of its start
-     */
-    public void onEngineLeavingReported(String id, long startedMillis) {
-        Engine engine = mEngines.get(id);
-        if (engine == null || engine.startedMillis() != startedMillis || engine.draining()) {
-            return;
+    private void scheduleExpiry() {
+        if (!mExpiryScheduled) {
+            mEngines.expiryDelay(mContext.clock().now()).ifPresent(this::scheduleExpiry);
         }
-        mLeaveReports.add(engine, mContext.clock().now());
-        mEngines.put(id, engine.asDraining());
-        mContext.log().event("engine_leaving_reported", "id", id);
-        mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
-        mChangeListener.run();
     }
 
-    private void dropRefutedReports() {
+    private void scheduleExpiry(Duration delay) {
+        mExpiryScheduled = true;
+        mContext.vertx().setTimer(delay.toMillis() + 1, t -> expire());
+    }
+
+    private void expire() {
         long now = mContext.clock().now();
-        if (!mServerWatch.isReachableFor(now, engineReadTime())) {
-            mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
+        mExpiryScheduled = false;
+        if (!mServerWatch.isReachable(now)) {
+            scheduleExpiry(EngineTable.RETURN_GRACE);
             return;
         }
-        List<Engine> refuted = mLeaveReports.removeOlderThan(engineReadTime(), now);
-        refuted.forEach(
-                e -> {
-                    mEngines.put(e.id(), e);
-                    mContext.log().event("engine_leaving_refuted", "id", e.id());
-                });
-        if (!refuted.isEmpty()) {
+        if (mEngines.expire(now)) {
             mChangeListener.run();
         }
+        scheduleExpiry();
     }
 
-    private void registerEngine(Engine engine) {
-        Engine before = mEngines.put(engine.id(), engine);
-        mLeaveReports.onRead(engine.id());
-        if (before != null && !before.draining() && engine.draining()) {
-            mLeavingListener.accept(engine);
-        }
-        if (before == null
-                || !before.isSameIncarnation(engine)
-                || before.draining() != engine.draining()) {
+    private final class EngineListener implements EngineTable.Listener {
+        @Override
+        public void onEngine(Engine engine) {
             mContext.log()
                     .event(
                             "engine",
@@ -272,31 +250,44 @@
                             "draining",
                             engine.draining());
         }
+
+        @Override
+        public void onGone(Engine engine, String reason) {
+            mContext.log().event("engine_gone", "id", engine.id(), "how", reason);
+        }
+
+        @Override
+        public void onLeaving(Engine engine) {
+            mLeavingListener.accept(engine);
+        }
     }
 
-    private void removeMissing() {
-        long now = mContext.clock().now();
-        List<String> expired =
-                mMissingSince.entrySet().stream()
-                        .filter(e -> now - e.getValue() >= STORE_RETURN_GRACE.toNanos())
-                        .map(Map.Entry::getKey)
-                        .toList();
-        if (mServerWatch.isReachable(now)) {
-            expired.forEach(id -> removeEngine(id, "missing"));
-            expired.forEach(mMissingSince::remove);
-            mChangeListener.run();
+    /**
+     * Handles the report of another node that an engine is draining or gone, which it read before
+     * this node did.
+     *
+     * @param id the engine's id
+     * @param startedMillis the Unix time of its start
+     */
+    public void onEngineLeavingReported(String id, long startedMillis) {
+        if (!mEngines.onLeavingReported(id, startedMillis, mContext.clock().now())) {
+            return;
         }
+        mContext.log().event("engine_leaving_reported", "id", id);
+        mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
+        mChangeListener.run();
     }
 
-    private void removeEngine(String id, String reason) {
-        Engine engine = mEngines.remove(id);
-        mLeaveReports.onRead(id);
-        if (engine == null) {
+    private void dropRefutedReports() {
+        long now = mContext.clock().now();
+        if (!mServerWatch.isReachableFor(now, engineReadTime())) {
+            mContext.vertx().setTimer(engineReadTime().toMillis(), t -> dropRefutedReports());
             return;
         }
-        mContext.log().event("engine_gone", "id", id, "how", reason);
-        if (!engine.draining()) {
-            mLeavingListener.accept(engine);
+        List<Engine> refuted = mEngines.dropRefutedReports(engineReadTime(), now);
+        refuted.forEach(e -> mContext.log().event("engine_leaving_refuted", "id", e.id()));
+        if (!refuted.isEmpty()) {
+            mChangeListener.run();
         }
     }
 
@@ -324,7 +315,7 @@
      * @return a live view of the engines
      */
     public Collection<Engine> engines() {
-        return mEngines.values();
+        return mEngines.engines();
     }
 
     /**
@@ -334,7 +325,7 @@
      * @return the engine, or empty if it is gone
      */
     public Optional<Engine> engine(String id) {
-        return Optional.ofNullable(mEngines.get(id));
+        return mEngines.find(id);
     }
 
     /**
@@ -353,7 +344,7 @@
                 "configuration",
                 mConfiguration.map(Configuration::version).orElse(-1L),
                 "engines",
-                mEngines.keySet().toString(),
+                mEngines.engines().stream().map(Engine::id).toList().toString(),
                 "versions",
                 mAdapterVersions.size());
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -1,9 +1,12 @@
 package org.fescuehollow.gateway.store;
 
+import io.vertx.core.Future;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.fescuehollow.catalog.PrefixReader;
 import org.fescuehollow.catalog.WatchScheduler;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.platform.StoreClient;
@@ -12,7 +15,8 @@
 import org.fescuehollow.platform.StorePage;
 
 /**
- * Reads all entries under a prefix of the store, then watches for changes.
+ * Sends the calls that read the entries under a prefix of the store and watch their changes, as
+ * {@link PrefixReader} and {@link WatchScheduler} decide.
  *
  * <p>Invariant: the response to a call is ignored if another response was received since the call
  * was sent, so that changes are reported in order. Not thread-safe; used on the node's event loop.
@@ -23,26 +27,21 @@
     private final String mPrefix;
     private final Duration mPause;
     private final WatchScheduler mScheduler;
-    private final Consumer<Change> mListener;
-    private List<StoreItem> mPageItems = new ArrayList<>();
-    private boolean mWatching;
-    private long mRevision = -1;
+    private final Consumer<PrefixReader.Change<StoreItem>> mListener;
+    private final PrefixReader<StoreItem> mReader = new PrefixReader<>();
     private long mReachableSince = Long.MIN_VALUE;
     private boolean mReachable;
     private boolean mLossReported;
     private boolean mStopped;
     private long mCallTimer = -1;
 
-    /** The entries that were read: all under the prefix, or only those that have changed. */
-    record Change(boolean complete, List<StoreItem> items) {}
-
     PrefixWatch(
             NodeContext context,
             StoreClient store,
             String prefix,
             WatchScheduler scheduler,
             Duration pause,
-            Consumer<Change> listener) {
+            Consumer<PrefixReader.Change<StoreItem>> listener) {
         mContext = context;
         mStore = store;
         mPrefix = prefix;
@@ -89,43 +88,61 @@
             onUnreachable("no answer in time", now);
         }
         WatchScheduler.Call call = mScheduler.startCall(now);
-        if (mWatching) {
-            mStore.watch(mPrefix, mRevision, call.waitMillis(), call.timeoutMillis())
-                    .onSuccess(p -> runGuarded(() -> onChanges(call, p)))
-                    .onFailure(e -> onFailure(call, e));
-        } else {
-            String after = mPageItems.isEmpty() ? "" : mPageItems.get(mPageItems.size() - 1).key();
-            mStore.readRange(mPrefix, after, call.timeoutMillis())
-                    .onSuccess(p -> runGuarded(() -> onPage(call, p)))
-                    .onFailure(e -> onFailure(call, e));
-        }
+        PrefixReader.Call read = mReader.nextCall();
+        Future<StorePage> answer =
+                read.watch()
+                        ? mStore.watch(
+                                mPrefix,
+                                read.afterRevision(),
+                                call.waitMillis(),
+                                call.timeoutMillis())
+                        : mStore.readRange(mPrefix, read.afterKey(), call.timeoutMillis());
+        answer.onSuccess(p -> runGuarded(() -> onAnswer(call, read, p)))
+                .onFailure(e -> onFailure(call, read, e));
         scheduleCall();
     }
 
-    private void onPage(WatchScheduler.Call call, StorePage page) {
-        boolean more = page.truncated() && !page.items().isEmpty();
-        if (!onAnswer(call, more ? Duration.ZERO : mPause)) {
+    private void onAnswer(WatchScheduler.Call call, PrefixReader.Call read, StorePage page) {
+        if (!mScheduler.isOpen(call.id())) {
             return;
         }
-        mPageItems.addAll(page.items());
-        // The pages are not a snapshot, so the watch starts at the revision of the first page.
-        mRevision = mRevision < 0 ? page.revision() : mRevision;
-        if (!more) {
-            Change all = new Change(true, mPageItems);
-            mPageItems = new ArrayList<>();
-            mWatching = true;
-            mListener.accept(all);
-        }
+        OptionalLong era = mReader.era();
+        Optional<PrefixReader.Change<StoreItem>> change = mReader.onAnswer(read, answer(page));
+        onNewEra(era, read.afterRevision());
+        acceptAnswer(call, change.isPresent() ? mPause : Duration.ZERO);
+        change.ifPresent(mListener);
+    }
+
+    private static PrefixReader.Answer<StoreItem> answer(StorePage page) {
+        List<StoreItem> items = page.items();
+        String lastKey = items.isEmpty() ? "" : items.get(items.size() - 1).key();
+        return new PrefixReader.Answer<>(
+                page.era(), page.revision(), lastKey, page.truncated(), items);
     }
 
-    private void onChanges(WatchScheduler.Call call, StorePage page) {
-        if (!onAnswer(call, page.items().isEmpty() ? Duration.ZERO : mPause)) {
+    /**
+     * Logs that the store returned from an older copy, if its era changed. Entries of running
+     * servers may be missing after that.
+     */
+    private void onNewEra(OptionalLong before, long revision) {
+        if (mReader.era().equals(before) || mReader.isWatching()) {
             return;
         }
-        mRevision = Math.max(mRevision, page.revision());
-        if (!page.items().isEmpty()) {
-            mListener.accept(new Change(false, page.items()));
-        }
+        mReachableSince = mContext.clock().now();
+        mContext.metrics().countEvent("store_returned");
+        mContext.log()
+                .event(
+                        "store_returned",
+                        "prefix",
+                        mPrefix,
+                        "era",
+                        mReader.era().getAsLong(),
+                        "era_before",
+                        before.orElse(-1),
+                        "revision_before",
+                        revision,
+                        "silent_ms",
+                        mScheduler.timeSinceAnswer(mContext.clock().now()).toMillis());
     }
 
     /**
@@ -141,13 +158,11 @@
         }
     }
 
-    private boolean onAnswer(WatchScheduler.Call call, Duration pause) {
+    private void acceptAnswer(WatchScheduler.Call call, Duration pause) {
         long now = mContext.clock().now();
         int unansweredCalls = mScheduler.unansweredCalls();
         long silentMillis = mScheduler.timeSinceAnswer(now).toMillis();
-        if (!mScheduler.onAnswer(call.id(), pause, now)) {
-            return false;
-        }
+        mScheduler.onAnswer(call.id(), pause, now);
         if (!mReachable) {
             mReachable = true;
             mReachableSince = now;
@@ -157,7 +172,7 @@
                             "prefix",
                             mPrefix,
                             "revision",
-                            mRevision,
+                            mReader.revision(),
                             "silent_ms",
                             silentMillis,
                             "calls",
@@ -165,13 +180,12 @@
         }
         mLossReported = false;
         scheduleCall();
-        return true;
     }
 
-    private void onFailure(WatchScheduler.Call call, Throwable cause) {
+    private void onFailure(WatchScheduler.Call call, PrefixReader.Call read, Throwable cause) {
         long now = mContext.clock().now();
         if (cause instanceof StoreException e && e.isHistoryGone()) {
-            restartRead(call);
+            restartRead(call, read, e.era());
             return;
         }
         if (!mScheduler.onFailure(call.id(), now)) {
@@ -182,13 +196,17 @@
         scheduleCall();
     }
 
-    private void restartRead(WatchScheduler.Call call) {
-        if (onAnswer(call, Duration.ZERO)) {
-            mContext.log().event("store_history_gone", "prefix", mPrefix, "revision", mRevision);
-            mWatching = false;
-            mRevision = -1;
-            mPageItems = new ArrayList<>();
+    private void restartRead(
+            WatchScheduler.Call call, PrefixReader.Call read, OptionalLong answerEra) {
+        if (!mScheduler.isOpen(call.id())) {
+            return;
         }
+        OptionalLong era = mReader.era();
+        mReader.onHistoryGone(read, answerEra);
+        onNewEra(era, read.afterRevision());
+        acceptAnswer(call, Duration.ZERO);
+        mContext.log()
+                .event("store_history_gone", "prefix", mPrefix, "revision", read.afterRevision());
     }
 
     private void onUnreachable(Object cause, long now) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StoreStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StoreStandIn.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 
@@ -19,6 +20,10 @@
     private final SortedMap<String, JsonObject> mItems = new ConcurrentSkipListMap<>();
     private final List<JsonObject> mEvents = new ArrayList<>();
     private long mRevision = 5;
+    private int mEra = 1;
+
+    /** The contents of the store at some time. */
+    public record Copy(Map<String, JsonObject> items, List<JsonObject> events, long revision) {}
 
     public StoreStandIn(Vertx vertx) {
         mVertx = vertx;
@@ -47,10 +52,28 @@
                 new JsonObject().put("key", key).put("rev", ++mRevision).put("tombstone", true));
     }
 
+    public synchronized Copy copy() {
+        return new Copy(Map.copyOf(mItems), List.copyOf(mEvents), mRevision);
+    }
+
+    /** Loses everything that was written after a copy; revisions are given out again. */
+    public synchronized void returnTo(Copy copy) {
+        mItems.clear();
+        mItems.putAll(copy.items());
+        mEvents.clear();
+        mEvents.addAll(copy.events());
+        mRevision = copy.revision();
+        mEra++;
+    }
+
+    private synchronized String era() {
+        return Integer.toString(mEra);
+    }
+
     private void onRequest(HttpServerRequest request) {
         String prefix = request.getParam("prefix");
         if (request.path().endsWith("kv-range")) {
-            request.response().end(range(prefix).encode());
+            respond(request, range(prefix));
         } else {
             long after = Long.parseLong(request.getParam("after"));
             watch(request, prefix, after, Long.parseLong(request.getParam("wait-ms")));
@@ -79,10 +102,14 @@
                 .put("store-revision", mRevision);
     }
 
+    private void respond(HttpServerRequest request, JsonObject body) {
+        request.response().putHeader("Store-Era", era()).end(body.encode());
+    }
+
     private void watch(HttpServerRequest request, String prefix, long after, long waitMillis) {
         JsonObject changes = changes(prefix, after);
         if (waitMillis <= 0 || !changes.getJsonArray("events").isEmpty()) {
-            request.response().end(changes.encode());
+            respond(request, changes);
         } else {
             mVertx.setTimer(20, t -> watch(request, prefix, after, waitMillis - 20));
         }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -15,6 +15,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -76,9 +77,15 @@
 
     /** Publishes routes for idempotent, non-idempotent and resumable streaming requests. */
     public void configure(long version) {
+        String[] hosts = new String[MAX_NODES];
+        Arrays.setAll(hosts, i -> "127.0.0." + (i + 1));
+        configureHosts(version, hosts);
+    }
+
+    /** Publishes the same routes for some hosts only. */
+    public void configureHosts(long version, String... hosts) {
         JsonArray routes = new JsonArray();
-        for (int i = 1; i <= MAX_NODES; i++) {
-            String host = "127.0.0." + i;
+        for (String host : hosts) {
             routes.add(route(host, "idempotent", "/read/", "plain", 2))
                     .add(route(host, "non_idempotent", "/pay/", "plain", 1))
                     .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true));
