Greet new peers at once; spread state messages over the fleet

Causes: a node reached each distant peer only within a round (2.4 s at 95 nodes, 7.6 s at 300), waited two rounds before it claimed engines, and for its first 4 s mentioned all nodes it knew in each message, which made messages of some kilobytes grow with the fleet. All nodes began their rotation at the same place, so that all wrote to the same eight peers in a period.

A peer that is new, or started again, gets its first message within the next periods, so a node claims engines after two greetings (1.6 s at 95 nodes in place of 4.8 s). Each rotation begins after the node itself; 16 nodes at most are mentioned, drawn at random.

--- a/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
+++ b/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
@@ -1,10 +1,16 @@
 package org.fescuehollow.exchange;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
+import org.fescuehollow.hashing.Rendezvous;
 
 /**
  * Decides which peers receive the state messages of this node in each period.
@@ -12,7 +18,7 @@
  * <p>Load pattern: the fleet grows. With messages to all nodes in each period, the cost of a node
  * would grow linearly with the fleet and the total cost quadratically. So in a large fleet, a node
  * sends to its close peers, which claim the same engines, in each period, and to a fixed number of
- * distant peers in rotation.
+ * distant peers in rotation. A peer that is new to it receives its first message soon.
  *
  * <p>Invariant: every known peer receives a message within one round. Not safe for concurrent use.
  */
@@ -29,7 +35,25 @@
     /** Rounds without a message until a node counts as silent, as datagrams may be lost. */
     private static final int SILENT_AFTER_ROUNDS = 5;
 
-    private int mNextIndex;
+    /**
+     * Number of peers that receive their first message in a period. A node that has just started
+     * learns of others, and they of it, by these messages.
+     */
+    private static final int NEW_PEERS_PER_PERIOD = 24;
+
+    private final Rotation mDistantPeers;
+    private final Set<String> mGreeted = new HashSet<>();
+    private final Random mRandom;
+
+    /**
+     * Creates a schedule.
+     *
+     * @param self the name of this node
+     */
+    public GossipSchedule(String self) {
+        mDistantPeers = new Rotation(self);
+        mRandom = new Random(Rendezvous.hash(self));
+    }
 
     /**
      * Returns whether the fleet is small enough to send every message to all peers.
@@ -52,23 +76,59 @@
         if (isFullMesh(peers.size())) {
             return peers;
         }
-        List<Peer> recipients =
-                new ArrayList<>(peers.stream().filter(p -> containsName(close, p)).toList());
-        List<Peer> distant =
-                peers.stream()
-                        .filter(p -> !containsName(close, p))
-                        .sorted(Comparator.comparing(Peer::name))
-                        .toList();
-        for (int i = 0; i < Math.min(DISTANT_PEERS_PER_PERIOD, distant.size()); i++) {
-            recipients.add(distant.get(Math.floorMod(mNextIndex++, distant.size())));
-        }
-        return recipients;
+        mGreeted.retainAll(peers.stream().map(Peer::name).collect(toSet()));
+        Set<Peer> recipients = new LinkedHashSet<>();
+        peers.stream().filter(p -> containsName(close, p)).forEach(recipients::add);
+        peers.stream()
+                .filter(p -> !containsName(mGreeted, p))
+                .limit(NEW_PEERS_PER_PERIOD)
+                .forEach(recipients::add);
+        recipients.addAll(
+                mDistantPeers.next(peers, p -> !recipients.contains(p), DISTANT_PEERS_PER_PERIOD));
+        recipients.forEach(p -> mGreeted.add(p.name()));
+        return List.copyOf(recipients);
+    }
+
+    /**
+     * Chooses the nodes that the messages of a period mention, so that others learn of them. They
+     * are drawn at random: neighbors in an order would tell each other what both know.
+     *
+     * @param known the nodes to choose from
+     * @param count how many to choose at most
+     * @return the nodes, each once
+     */
+    public List<Peer> mentions(List<Peer> known, int count) {
+        List<Peer> shuffled = new ArrayList<>(known);
+        Collections.shuffle(shuffled, mRandom);
+        return List.copyOf(shuffled.subList(0, Math.min(count, shuffled.size())));
     }
 
     private static boolean containsName(Set<String> names, Peer peer) {
         return names.contains(peer.name());
     }
 
+    /**
+     * Handles the start of a peer, which has forgotten all that it was told.
+     *
+     * @param name the name of the peer
+     */
+    public void onPeerStarted(String name) {
+        mGreeted.remove(name);
+    }
+
+    /**
+     * Returns the time within which each peer receives its first message.
+     *
+     * @param peerCount the number of known peers
+     * @return the duration; one period for a small fleet
+     */
+    public Duration greetingDuration(int peerCount) {
+        return isFullMesh(peerCount)
+                ? PERIOD
+                : PERIOD.multipliedBy(
+                        (peerCount + NEW_PEERS_PER_PERIOD - 1) / NEW_PEERS_PER_PERIOD);
+    }
+
     /**
      * Returns the time within which each peer receives at least one message.
      *
--- a/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -116,6 +116,16 @@
         return true;
     }
 
+    /**
+     * Returns the incarnation of a node.
+     *
+     * @param name the name of the node
+     * @return the incarnation of its newest message; 0 if none was received
+     */
+    public long incarnation(String name) {
+        return Optional.ofNullable(mPeers.get(name)).map(PeerState::incarnation).orElse(0L);
+    }
+
     /**
      * Adds a node from another node's list of peers, if it is unknown.
      *
--- a/core/src/test/java/org/fescuehollow/exchange/GossipScheduleTest.java
+++ b/core/src/test/java/org/fescuehollow/exchange/GossipScheduleTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 class GossipScheduleTest {
-    private final GossipSchedule mSchedule = new GossipSchedule();
+    private final GossipSchedule mSchedule = new GossipSchedule("n0");
 
     private static List<Peer> peers(int count) {
         return IntStream.range(0, count)
@@ -26,11 +26,24 @@
     @Test
     void recipients_areAsManyInAnyLargeFleet() {
         Set<String> close = Set.of("n1", "n2");
+        GossipSchedule large = new GossipSchedule("n0");
+        for (int i = 0; i < 20; i++) {
+            then(mSchedule.recipients(peers(74), close)).hasSizeLessThan(40);
+            then(large.recipients(peers(409), close)).hasSizeLessThan(40);
+        }
         int at75 = mSchedule.recipients(peers(74), close).size();
-        int at410 = new GossipSchedule().recipients(peers(409), close).size();
+        int at410 = large.recipients(peers(409), close).size();
         then(at75).isEqualTo(at410).isLessThan(16);
     }
 
+    @Test
+    void recipients_includeANewPeerInTheNextPeriod() {
+        for (int i = 0; i < 20; i++) {
+            mSchedule.recipients(peers(74), Set.of());
+        }
+        then(mSchedule.recipients(peers(75), Set.of())).contains(peers(75).get(74));
+    }
+
     @Test
     void recipients_coverAllPeersInARoundAndClosePeersEachPeriod() {
         // GIVEN a large fleet
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -5,8 +5,6 @@
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -46,7 +44,13 @@
     public static final String NAME = "exchange";
 
     /** Nodes mentioned besides the receiver; a new node hears from all nodes in a round. */
-    private static final int MAX_MENTIONED_NODES = 3;
+    private static final int MENTIONED_NODES = 3;
+
+    /**
+     * Nodes mentioned by a starting node, as others that start with it know few. The message still
+     * fits into one packet.
+     */
+    private static final int MENTIONED_NODES_AT_START = 16;
 
     /** Nodes silent for longer aren't mentioned, so that all nodes forget one that is gone. */
     private static final long MAX_MENTION_AGE_MILLIS = 30_000;
@@ -57,14 +61,14 @@
     /** Changes of the work within this time are sent as one message. */
     private static final long WORK_INTERVAL_MILLIS = 20;
 
-    /** A starting node mentions all nodes it knows, as others that start with it know few. */
+    /** Time after its start in which a node mentions more nodes. */
     private static final long STARTUP_NANOS = Duration.ofSeconds(4).toNanos();
 
     private final NodeContext mContext;
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final PeerTable mPeers;
-    private final GossipSchedule mSchedule = new GossipSchedule();
+    private final GossipSchedule mSchedule;
     private final long mIncarnation = System.currentTimeMillis();
     private final Set<String> mLiveNodes = new HashSet<>();
     private final Set<String> mChangedWork = new LinkedHashSet<>();
@@ -77,7 +81,6 @@
     private boolean mLeaving;
     private long mTimer;
     private long mStartedNanos;
-    private int mNextMention;
 
     /**
      * Creates the service.
@@ -93,6 +96,7 @@
         NodeSettings s = context.settings();
         mPeers = new PeerTable(new Peer(s.node(), s.domain(), s.ip()), context.clock().now());
         mSeeds = s.seeds();
+        mSchedule = new GossipSchedule(s.node());
     }
 
     @Override
@@ -182,12 +186,12 @@
     }
 
     /**
-     * Returns the time within which each node hears from each other node.
+     * Returns the time within which a node hears from each node that learns of it.
      *
      * @return the duration; one period in a small fleet
      */
-    public Duration roundDuration() {
-        return mSchedule.roundDuration(mPeers.size() - 1);
+    public Duration greetingDuration() {
+        return mSchedule.greetingDuration(mPeers.size() - 1);
     }
 
     private boolean sendsWorkToAll() {
@@ -216,7 +220,7 @@
         private final long mNow;
         private final List<EngineWork> mWork;
         private final List<EngineHolding> mHoldings;
-        private final List<Peer> mMentioned;
+        private final Map<String, PeerSeen> mMentioned;
 
         StateMessages(long now) {
             mNow = now;
@@ -230,42 +234,36 @@
                     mOrders.holdings().entrySet().stream()
                             .map(e -> encodeHolding(e.getKey(), e.getValue(), now))
                             .toList();
-            mMentioned = nodesToMention(now);
+            mMentioned =
+                    nodesToMention(now).stream()
+                            .collect(Collectors.toMap(Peer::name, p -> encodePeer(p, now)));
         }
 
         byte[] fullState(Optional<Peer> to) {
             NodeNews.Builder message = messageBuilder().setWhole(true).addAllHoldings(mHoldings);
             to.ifPresent(p -> message.addPeers(encodePeer(p, mNow)));
-            mMentioned.stream()
-                    .filter(p -> !to.equals(Optional.of(p)))
-                    .forEach(p -> message.addPeers(encodePeer(p, mNow)));
+            mMentioned.forEach(
+                    (name, seen) -> {
+                        if (to.filter(p -> p.name().equals(name)).isEmpty()) {
+                            message.addPeers(seen);
+                        }
+                    });
             to.ifPresent(p -> mWork.forEach(w -> workFor(p, w, mNow).forEach(message::addWork)));
             return message.build().toByteArray();
         }
     }
 
-    /**
-     * Returns a few of the nodes heard from recently, in rotation, or all of them during the
-     * startup period.
-     */
+    /** Returns a few of the nodes heard from recently. */
     private List<Peer> nodesToMention(long now) {
+        boolean starting = now - mStartedNanos < STARTUP_NANOS;
         List<Peer> heard =
                 mPeers.peers().stream()
                         .filter(
                                 p ->
                                         mPeers.heardMillisAgo(p.name(), now).orElse(Long.MAX_VALUE)
                                                 < MAX_MENTION_AGE_MILLIS)
-                        .sorted(Comparator.comparing(Peer::name))
                         .toList();
-        boolean starting = now - mStartedNanos < STARTUP_NANOS;
-        if (starting || heard.size() <= MAX_MENTIONED_NODES) {
-            return heard;
-        }
-        List<Peer> mentioned = new ArrayList<>();
-        for (int i = 0; i < MAX_MENTIONED_NODES; i++) {
-            mentioned.add(heard.get(Math.floorMod(mNextMention++, heard.size())));
-        }
-        return mentioned;
+        return mSchedule.mentions(heard, starting ? MENTIONED_NODES_AT_START : MENTIONED_NODES);
     }
 
     private boolean isHolder(Peer node, String engine, long now) {
@@ -394,7 +392,12 @@
 
     private void onDatagram(Buffer data) {
         try {
-            mMessageHandler.apply(NodeNews.parseFrom(data.getBytes()), sendsWorkToAll());
+            NodeNews message = NodeNews.parseFrom(data.getBytes());
+            long before = mPeers.incarnation(message.getNode());
+            mMessageHandler.apply(message, sendsWorkToAll());
+            if (mPeers.incarnation(message.getNode()) > before) {
+                mSchedule.onPeerStarted(message.getNode());
+            }
         } catch (InvalidProtocolBufferException e) {
             mContext.metrics().countEvent("unreadable_datagram");
             mContext.log().event("unreadable_datagram", "cause", e.getMessage());
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -35,7 +35,7 @@
     /** Time in which a node of a small fleet learns of all other nodes. */
     private static final long BASE_SETTLE_NANOS = Duration.ofMillis(1_600).toNanos();
 
-    /** All nodes send a message within one round; a second round makes up for lost messages. */
+    /** All nodes greet a new one within one round; a second round makes up for lost messages. */
     private static final int SETTLE_ROUNDS = 2;
 
     /** Time between two periodic checks of the engines. */
@@ -208,7 +208,7 @@
     boolean isSettled(long now) {
         long since = Math.max(mStartedNanos, exchange().peers().lastDiscoveryNanos());
         return now - since
-                >= BASE_SETTLE_NANOS + exchange().roundDuration().toNanos() * SETTLE_ROUNDS;
+                >= BASE_SETTLE_NANOS + exchange().greetingDuration().toNanos() * SETTLE_ROUNDS;
     }
 
     /** Returns whether one more load may start. */
