--- a/core/src/main/java/org/fescuehollow/catalog/AdapterKey.java
+++ b/core/src/main/java/org/fescuehollow/catalog/AdapterKey.java
@@ -34,6 +34,19 @@
         return !adapter.isEmpty();
     }
 
+    // The generated methods are linked at first use and slow without the optimizing compiler.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AdapterKey key
+                && adapter.equals(key.adapter)
+                && model.equals(key.model);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * model.hashCode() + adapter.hashCode();
+    }
+
     @Override
     public String toString() {
         return adapter.isEmpty() ? model : model + "/" + adapter;
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
@@ -47,6 +47,10 @@
         /** No work. */
         public static final Work NONE = new Work(0, 0, 0);
 
+        private boolean isNone() {
+            return running == 0 && pendingPrefillTokens == 0 && kvCacheTokens == 0;
+        }
+
         private Work minus(Work other) {
             return new Work(
                     Math.max(0, running - other.running),
@@ -144,7 +148,7 @@
     }
 
     void updatePeerWork(String node, Work work, Set<AdapterKey> adapters, long now) {
-        if (!work.equals(Work.NONE) || !adapters.isEmpty()) {
+        if (!work.isNone() || !adapters.isEmpty()) {
             mPeerReports.put(node, new WorkReport(work, adapters, now));
             forgetTotalWork();
         } else if (mPeerReports.remove(node) != null) {
--- a/core/src/main/java/org/fescuehollow/exchange/ClaimantTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/ClaimantTable.java
@@ -33,12 +33,10 @@
 
     private final LongBinaryOperator mWeight;
     private final Map<String, Node> mNodes = new HashMap<>();
-    private final Map<EngineKey, Ranking> mRankings = new HashMap<>();
+    private final Map<String, Ranking> mRankings = new HashMap<>();
 
     private record Node(Peer peer, long hash) {}
 
-    private record EngineKey(String engine, String domain) {}
-
     private record Candidate(Peer peer, boolean remote, long weight) {
         private static final Comparator<Candidate> BEST_FIRST =
                 Comparator.comparing(Candidate::remote)
@@ -84,10 +82,12 @@
         if (mRankings.size() > MAX_RANKINGS) {
             mRankings.clear();
         }
-        return mRankings
-                .computeIfAbsent(
-                        new EngineKey(engine, domain), k -> new Ranking(k, mNodes.values()))
-                .peers();
+        Ranking ranking = mRankings.get(engine);
+        if (ranking == null || !ranking.domain().equals(domain)) {
+            ranking = new Ranking(engine, domain, mNodes.values());
+            mRankings.put(engine, ranking);
+        }
+        return ranking.peers();
     }
 
     /** The best candidates for one engine. */
@@ -97,9 +97,9 @@
         private final List<Candidate> mBest = new ArrayList<>(MAX_CLAIMANTS + 1);
         private List<Peer> mPeers = List.of();
 
-        Ranking(EngineKey key, Collection<Node> nodes) {
-            mEngineHash = Rendezvous.hash(key.engine());
-            mDomain = key.domain();
+        Ranking(String engine, String domain, Collection<Node> nodes) {
+            mEngineHash = Rendezvous.hash(engine);
+            mDomain = domain;
             nodes.forEach(this::add);
         }
 
@@ -123,6 +123,10 @@
             return mPeers.stream().anyMatch(p -> p.name().equals(name));
         }
 
+        String domain() {
+            return mDomain;
+        }
+
         List<Peer> peers() {
             return mPeers;
         }
--- a/core/src/main/java/org/fescuehollow/exchange/Peer.java
+++ b/core/src/main/java/org/fescuehollow/exchange/Peer.java
@@ -9,4 +9,18 @@
  * @param domain its failure domain
  * @param ip its IP address
  */
-public record Peer(String name, String domain, String ip) {}
+public record Peer(String name, String domain, String ip) {
+    // The generated methods are linked at first use and slow without the optimizing compiler.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Peer peer
+                && name.equals(peer.name)
+                && domain.equals(peer.domain)
+                && ip.equals(peer.ip);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/training/CannedServer.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/training/CannedServer.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
 
 /**
@@ -22,6 +23,7 @@
 
     private final Vertx mVertx;
     private final HttpServer mServer;
+    private final AtomicInteger mOrders = new AtomicInteger();
     private final JsonArray mResponses = new JsonArray(TrainingResources.read("responses.json"));
 
     CannedServer(Vertx vertx) {
@@ -34,7 +36,15 @@
         return mServer.actualPort();
     }
 
+    /** Returns how many orders the server received; safe for use by any thread. */
+    int orders() {
+        return mOrders.get();
+    }
+
     private void respond(HttpServerRequest request) {
+        if (request.path().endsWith("/order")) {
+            mOrders.incrementAndGet();
+        }
         JsonObject canned =
                 mResponses.stream()
                         .map(JsonObject.class::cast)
--- a/gateway/src/main/java/org/fescuehollow/gateway/training/CdsTraining.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/training/CdsTraining.java
@@ -24,8 +24,10 @@
  * <p>Stateless; used by the build only.
  */
 public final class CdsTraining {
-    /** Long enough for the nodes to know each other and to hold the engine. */
-    private static final long SETTLE_MILLIS = 4_000;
+    /** Longest wait until the nodes know each other and one of them gives the engine orders. */
+    private static final long MAX_SETTLE_MILLIS = 30_000;
+
+    private static final long POLL_MILLIS = 50;
 
     /** Time between two rounds of requests; some of them run into their time limit. */
     private static final long ROUND_MILLIS = 1_000;
@@ -41,9 +43,10 @@
      */
     public static void run() throws InterruptedException {
         Vertx vertx = Vertx.vertx();
+        CannedServer server = new CannedServer(vertx);
         String settings =
                 TrainingResources.read("settings.json")
-                        .replace("STORE", Integer.toString(new CannedServer(vertx).port()))
+                        .replace("STORE", Integer.toString(server.port()))
                         .replace("READINESS", Integer.toString(freePort()))
                         .replace("EXCHANGE", Integer.toString(freePort()));
         int listenPort = freePort();
@@ -52,7 +55,7 @@
         EntryNode second = new EntryNode(NodeSettings.parse(settings.replace("NODE", "2")));
         first.start();
         second.start();
-        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        awaitOrder(server);
         HttpClient client = vertx.createHttpClient();
         for (int i = 0; i < ROUNDS; i++) {
             sendRequests(client, listenPort, i);
@@ -63,6 +66,16 @@
         second.stop();
     }
 
+    private static void awaitOrder(CannedServer server) throws InterruptedException {
+        for (long t = 0; server.orders() == 0; t += POLL_MILLIS) {
+            if (t > MAX_SETTLE_MILLIS) {
+                System.err.println("training: no order was given; the archive lacks their classes");
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
     private static void sendRequests(HttpClient client, int port, int round) {
         JsonArray requests = new JsonArray(TrainingResources.read("requests.json"));
         for (int i = 0; i < requests.size(); i++) {
