Draw the mentioned nodes by hashes, as core owns no random source

ArchitectureTest failed on the commit before: core may not depend on java.util.Random. A draw ranks the nodes by a hash of this node, the draw's number and their names.

--- a/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
+++ b/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
@@ -3,13 +3,12 @@
 import static java.util.stream.Collectors.toSet;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import org.fescuehollow.hashing.Rendezvous;
 
 /**
@@ -43,7 +42,8 @@
 
     private final Rotation mDistantPeers;
     private final Set<String> mGreeted = new HashSet<>();
-    private final Random mRandom;
+    private final long mSelfHash;
+    private long mDrawCount;
 
     /**
      * Creates a schedule.
@@ -52,7 +52,7 @@
      */
     public GossipSchedule(String self) {
         mDistantPeers = new Rotation(self);
-        mRandom = new Random(Rendezvous.hash(self));
+        mSelfHash = Rendezvous.hash(self);
     }
 
     /**
@@ -98,9 +98,10 @@
      * @return the nodes, each once
      */
     public List<Peer> mentions(List<Peer> known, int count) {
-        List<Peer> shuffled = new ArrayList<>(known);
-        Collections.shuffle(shuffled, mRandom);
-        return List.copyOf(shuffled.subList(0, Math.min(count, shuffled.size())));
+        long draw = Rendezvous.weight(mSelfHash, ++mDrawCount);
+        SortedMap<Long, Peer> shuffled = new TreeMap<>();
+        known.forEach(p -> shuffled.put(Rendezvous.weight(draw, Rendezvous.hash(p.name())), p));
+        return shuffled.values().stream().limit(count).toList();
     }
 
     private static boolean containsName(Set<String> names, Peer peer) {
