--- a/core/src/main/java/org/fescuehollow/exchange/ClaimantTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/ClaimantTable.java
@@ -35,8 +35,10 @@
     private final Map<String, Node> mNodes = new HashMap<>();
     private final Map<String, Ranking> mRankings = new HashMap<>();
 
+    /** A node and the hash of its name. */
     private record Node(Peer peer, long hash) {}
 
+    /** A node with its criteria of rank for one engine. */
     private record Candidate(Peer peer, boolean remote, long weight) {
         private static final Comparator<Candidate> BEST_FIRST =
                 Comparator.comparing(Candidate::remote)
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.exchange.GossipSchedule;
@@ -75,6 +74,7 @@
     private List<String> mSeeds;
     private DatagramSocket mSocket;
     private StateMessageHandler mMessageHandler;
+    private WorkEncoder mWorkEncoder;
     private OrderService mOrders;
     private CatalogService mCatalog;
     private long mSequence;
@@ -111,6 +111,7 @@
         mMessageHandler =
                 new StateMessageHandler(
                         mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders);
+        mWorkEncoder = new WorkEncoder(mDispatcher, mResidency, mCatalog, mPeers);
         mCatalog.onEngineLeaving(this::sendEngineLeaving);
         mStartedNanos = mContext.clock().now();
         mSocket = mContext.vertx().createDatagramSocket(socketOptions());
@@ -224,12 +225,7 @@
 
         StateMessages(long now) {
             mNow = now;
-            mWork =
-                    mCatalog.engines().stream()
-                            .map(Engine::id)
-                            .filter(e -> mDispatcher.ownWork(e).running() > 0)
-                            .map(ExchangeService.this::ownWork)
-                            .toList();
+            mWork = mWorkEncoder.allWork();
             mHoldings =
                     mOrders.holdings().entrySet().stream()
                             .map(e -> encodeHolding(e.getKey(), e.getValue(), now))
@@ -248,7 +244,7 @@
                             message.addPeers(seen);
                         }
                     });
-            to.ifPresent(p -> mWork.forEach(w -> workFor(p, w, mNow).forEach(message::addWork)));
+            to.ifPresent(p -> message.addAllWork(workFor(p, mWork, mNow)));
             return message.build().toByteArray();
         }
     }
@@ -266,22 +262,6 @@
         return mSchedule.mentions(heard, starting ? MENTIONED_NODES_AT_START : MENTIONED_NODES);
     }
 
-    private boolean isHolder(Peer node, String engine, long now) {
-        return mResidency.holder(engine, now).filter(node.name()::equals).isPresent();
-    }
-
-    /** Only nodes that may claim an engine need to know which adapters are in use on it. */
-    private boolean mayClaim(Peer node, String engine) {
-        return mCatalog.engine(engine)
-                .filter(e -> mPeers.claimants(engine, e.domain()).contains(node))
-                .isPresent();
-    }
-
-    private EngineWork ownWork(String engine) {
-        return StateMessageCodec.work(
-                engine, mDispatcher.ownWork(engine), mDispatcher.ownAdapters(engine));
-    }
-
     private EngineHolding encodeHolding(String engine, Holding holding, long now) {
         return StateMessageCodec.holding(engine, holding, mDispatcher.totalWork(engine, now));
     }
@@ -365,14 +345,13 @@
 
     private void sendChangedWork() {
         long now = mContext.clock().now();
-        List<EngineWork> changed = mChangedWork.stream().map(this::ownWork).toList();
+        List<EngineWork> changed = mChangedWork.stream().map(mWorkEncoder::work).toList();
         mChangedWork.clear();
         mPeers.peers().stream()
                 .filter(p -> mLiveNodes.contains(p.name()))
                 .forEach(
                         p -> {
-                            List<EngineWork> work =
-                                    changed.stream().flatMap(w -> workFor(p, w, now)).toList();
+                            List<EngineWork> work = workFor(p, changed, now);
                             if (!work.isEmpty()) {
                                 send(
                                         messageBuilder().addAllWork(work).build().toByteArray(),
@@ -381,13 +360,9 @@
                         });
     }
 
-    /** Returns the part of this node's work on an engine that another node needs to know. */
-    private Stream<EngineWork> workFor(Peer to, EngineWork work, long now) {
-        if (!sendsWorkToAll()) {
-            return Stream.of(work).filter(w -> isHolder(to, w.getEngine(), now));
-        }
-        return Stream.of(
-                mayClaim(to, work.getEngine()) ? work : StateMessageCodec.withoutAdapters(work));
+    private List<EngineWork> workFor(Peer to, List<EngineWork> work, long now) {
+        boolean toAll = sendsWorkToAll();
+        return work.stream().flatMap(w -> mWorkEncoder.partFor(to, w, toAll, now)).toList();
     }
 
     private void onDatagram(Buffer data) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -233,6 +233,7 @@
         scheduleExpiry();
     }
 
+    /** Logs the changes of the engines and passes on those that leave. */
     private final class EngineListener implements EngineTable.Listener {
         @Override
         public void onEngine(Engine engine) {
