--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -56,6 +56,10 @@
         }
     }
 
+    public Vertx vertx() {
+        return mVertx;
+    }
+
     public StoreStandIn store() {
         return mStore;
     }
@@ -75,6 +79,15 @@
         return server;
     }
 
+    /** Registers a server that sends late copies of its responses. */
+    public LateCopyServer addLateCopyServer(String id, String service) {
+        LateCopyServer server = new LateCopyServer(mVertx);
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return server;
+    }
+
     /** Publishes routes for idempotent, non-idempotent and resumable streaming requests. */
     public void configure(long version) {
         String[] hosts = new String[MAX_NODES];
