--- a/core/src/main/java/org/fescuehollow/catalog/EngineTable.java
+++ b/core/src/main/java/org/fescuehollow/catalog/EngineTable.java
@@ -111,9 +111,10 @@
     }
 
     private boolean wasGone(Engine engine, long now) {
-        mGone.values().removeIf(g -> now - g.goneNanos() > REMEMBER_GONE_NANOS);
         Gone gone = mGone.get(engine.id());
-        return gone != null && gone.startedMillis() == engine.startedMillis();
+        return gone != null
+                && gone.startedMillis() == engine.startedMillis()
+                && now - gone.goneNanos() <= REMEMBER_GONE_NANOS;
     }
 
     private void register(Engine read) {
@@ -167,6 +168,7 @@
         if (engine == null) {
             return;
         }
+        mGone.values().removeIf(g -> now - g.goneNanos() > REMEMBER_GONE_NANOS);
         mGone.put(id, new Gone(engine.startedMillis(), now));
         mListener.onGone(engine, reason);
         if (!engine.draining()) {
@@ -247,6 +249,11 @@
         return Stream.of(missing, alive).anyMatch(changed -> !changed.isEmpty());
     }
 
+    /** Returns how many engines that are gone this table remembers. */
+    int rememberedGone() {
+        return mGone.size();
+    }
+
     /**
      * Returns the engines.
      *
--- a/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
@@ -120,6 +120,23 @@
         then(isUsable("e1")).isTrue();
     }
 
+    @Test
+    void entry_ofAnEngineThatIsGoneForLongIsUsedAtOnce() {
+        mTable.onEntry(ENGINE, false, 0);
+        mTable.onRemoved("e1", true, 0);
+        listAfterReturn(61 * SECOND_NANOS, ENGINE);
+        then(isUsable("e1")).isTrue();
+    }
+
+    @Test
+    void removal_ofManyEnginesIsNotRememberedForever() {
+        for (int i = 0; i < 1_000; i++) {
+            mTable.onEntry(engine("e" + i, 1), false, i * SECOND_NANOS);
+            mTable.onRemoved("e" + i, true, i * SECOND_NANOS);
+        }
+        then(mTable.rememberedGone()).isLessThan(100);
+    }
+
     @Test
     void removal_whileTheStoreIsUnstableWaitsForTheGrace() {
         mTable.onEntry(ENGINE, false, 0);
