A listing of many pages is no return of the store; expiry follows the earliest entry

Found by a read of the change: the first era that a store named was logged as a return if the first listing had several pages, and a held entry delayed the expiry of a missing one by up to 2.4 s. PrefixReaderTest covers the first.

--- a/core/src/main/java/org/fescuehollow/catalog/PrefixReader.java
+++ b/core/src/main/java/org/fescuehollow/catalog/PrefixReader.java
@@ -28,6 +28,7 @@
     private boolean mWatching;
     private boolean mAnswered;
     private boolean mReturned;
+    private int mReturnCount;
 
     /**
      * A call to the store.
@@ -89,6 +90,15 @@
         return mEra;
     }
 
+    /**
+     * Returns how often the store returned from an older copy.
+     *
+     * @return the number of eras that followed the first one
+     */
+    public int returnCount() {
+        return mReturnCount;
+    }
+
     /**
      * Returns the revision from which changes are followed.
      *
@@ -166,6 +176,7 @@
             return current;
         }
         mReturned = true;
+        mReturnCount++;
         startListing();
         return false;
     }
--- a/core/src/test/java/org/fescuehollow/catalog/PrefixReaderTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/PrefixReaderTest.java
@@ -205,6 +205,13 @@
         then(read(mReader.nextCall()).items()).containsExactly(new Entry("k0", 0));
     }
 
+    @Test
+    void listing_ofManyPagesIsNoReturn() {
+        writeKeys(2 * PAGE_ITEMS + 1);
+        listAll();
+        then(mReader.returnCount()).isZero();
+    }
+
     @Test
     void answer_ofAnOlderEraIsDropped() {
         writeKeys(2);
@@ -249,5 +256,6 @@
         then(read(mReader.nextCall()).returned()).isTrue();
         mReader.onHistoryGone(mReader.nextCall(), mStore.era());
         then(read(mReader.nextCall()).returned()).isFalse();
+        then(mReader.returnCount()).isEqualTo(1);
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -50,7 +50,7 @@
     private Consumer<Engine> mLeavingListener = e -> {};
     private PrefixWatch mOperatorWatch;
     private PrefixWatch mServerWatch;
-    private boolean mExpiryScheduled;
+    private long mExpiryTimer = -1;
 
     /**
      * Creates the service.
@@ -210,19 +210,16 @@
     }
 
     private void scheduleExpiry() {
-        if (!mExpiryScheduled) {
-            mEngines.expiryDelay(mContext.clock().now()).ifPresent(this::scheduleExpiry);
-        }
+        mEngines.expiryDelay(mContext.clock().now()).ifPresent(this::scheduleExpiry);
     }
 
     private void scheduleExpiry(Duration delay) {
-        mExpiryScheduled = true;
-        mContext.vertx().setTimer(delay.toMillis() + 1, t -> expire());
+        mContext.vertx().cancelTimer(mExpiryTimer);
+        mExpiryTimer = mContext.vertx().setTimer(delay.toMillis() + 1, t -> expire());
     }
 
     private void expire() {
         long now = mContext.clock().now();
-        mExpiryScheduled = false;
         if (!mServerWatch.isReachable(now)) {
             scheduleExpiry(EngineTable.RETURN_GRACE);
             return;
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -106,9 +106,11 @@
         if (!mScheduler.isOpen(call.id())) {
             return;
         }
-        OptionalLong era = mReader.era();
+        int returns = mReader.returnCount();
         Optional<PrefixReader.Change<StoreItem>> change = mReader.onAnswer(read, answer(page));
-        onNewEra(era, read.afterRevision());
+        if (mReader.returnCount() > returns) {
+            onReturned(read);
+        }
         acceptAnswer(call, change.isPresent() ? mPause : Duration.ZERO);
         change.ifPresent(mListener);
     }
@@ -120,14 +122,8 @@
                 page.era(), page.revision(), lastKey, page.truncated(), items);
     }
 
-    /**
-     * Logs that the store returned from an older copy, if its era changed. Entries of running
-     * servers may be missing after that.
-     */
-    private void onNewEra(OptionalLong before, long revision) {
-        if (mReader.era().equals(before) || mReader.isWatching()) {
-            return;
-        }
+    /** Handles the return of the store: entries of running servers may be missing after it. */
+    private void onReturned(PrefixReader.Call call) {
         mReachableSince = mContext.clock().now();
         mContext.metrics().countEvent("store_returned");
         mContext.log()
@@ -137,10 +133,8 @@
                         mPrefix,
                         "era",
                         mReader.era().getAsLong(),
-                        "era_before",
-                        before.orElse(-1),
                         "revision_before",
-                        revision,
+                        call.afterRevision(),
                         "silent_ms",
                         mScheduler.timeSinceAnswer(mContext.clock().now()).toMillis());
     }
@@ -201,9 +195,11 @@
         if (!mScheduler.isOpen(call.id())) {
             return;
         }
-        OptionalLong era = mReader.era();
+        int returns = mReader.returnCount();
         mReader.onHistoryGone(read, answerEra);
-        onNewEra(era, read.afterRevision());
+        if (mReader.returnCount() > returns) {
+            onReturned(read);
+        }
         acceptAnswer(call, Duration.ZERO);
         mContext.log()
                 .event("store_history_gone", "prefix", mPrefix, "revision", read.afterRevision());
