Greet a new peer twice, as datagrams are lost

Found by a read of the change: a node waited for two greetings before it claimed engines, but sent one, so that a lost one was made up for only by the rotation (2.4 s at 95 nodes). Fleets of up to 17 nodes write to all in each period and are not concerned. FleetStartReplayTest loses a tenth of the messages now.

--- a/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
+++ b/core/src/main/java/org/fescuehollow/exchange/GossipSchedule.java
@@ -3,12 +3,14 @@
 import static java.util.stream.Collectors.toSet;
 
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.fescuehollow.hashing.Rendezvous;
 
 /**
@@ -17,7 +19,7 @@
  * <p>Load pattern: the fleet grows. With messages to all nodes in each period, the cost of a node
  * would grow linearly with the fleet and the total cost quadratically. So in a large fleet, a node
  * sends to its close peers, which claim the same engines, in each period, and to a fixed number of
- * distant peers in rotation. A peer that is new to it receives its first message soon.
+ * distant peers in rotation. A peer that is new to it receives its first messages soon.
  *
  * <p>Invariant: every known peer receives a message within one round. Not safe for concurrent use.
  */
@@ -34,14 +36,17 @@
     /** Rounds without a message until a node counts as silent, as datagrams may be lost. */
     private static final int SILENT_AFTER_ROUNDS = 5;
 
+    /** Messages that a new peer receives soon; the second makes up for a lost one. */
+    private static final int GREETINGS = 2;
+
     /**
-     * Number of peers that receive their first message in a period. A node that has just started
-     * learns of others, and they of it, by these messages.
+     * Number of peers that receive such a message in a period. A node that has just started learns
+     * of others, and they of it, by these messages.
      */
     private static final int NEW_PEERS_PER_PERIOD = 24;
 
     private final Rotation mDistantPeers;
-    private final Set<String> mGreeted = new HashSet<>();
+    private final Map<String, Integer> mGreetings = new HashMap<>();
     private final long mSelfHash;
     private long mDrawCount;
 
@@ -76,19 +81,24 @@
         if (isFullMesh(peers.size())) {
             return peers;
         }
-        mGreeted.retainAll(peers.stream().map(Peer::name).collect(toSet()));
+        mGreetings.keySet().retainAll(peers.stream().map(Peer::name).collect(toSet()));
         Set<Peer> recipients = new LinkedHashSet<>();
         peers.stream().filter(p -> containsName(close, p)).forEach(recipients::add);
-        peers.stream()
-                .filter(p -> !containsName(mGreeted, p))
+        IntStream.range(0, GREETINGS)
+                .boxed()
+                .flatMap(n -> peers.stream().filter(p -> greetings(p) == n))
                 .limit(NEW_PEERS_PER_PERIOD)
                 .forEach(recipients::add);
         recipients.addAll(
                 mDistantPeers.next(peers, p -> !recipients.contains(p), DISTANT_PEERS_PER_PERIOD));
-        recipients.forEach(p -> mGreeted.add(p.name()));
+        recipients.forEach(p -> mGreetings.merge(p.name(), 1, Integer::sum));
         return List.copyOf(recipients);
     }
 
+    private int greetings(Peer peer) {
+        return mGreetings.getOrDefault(peer.name(), 0);
+    }
+
     /**
      * Chooses the nodes that the messages of a period mention, so that others learn of them. They
      * are drawn at random: neighbors in an order would tell each other what both know.
@@ -114,7 +124,7 @@
      * @param name the name of the peer
      */
     public void onPeerStarted(String name) {
-        mGreeted.remove(name);
+        mGreetings.remove(name);
     }
 
     /**
--- a/core/src/test/java/org/fescuehollow/exchange/FleetStartReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/exchange/FleetStartReplayTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,8 +14,9 @@
 
 /**
  * Replays, in virtual time, the start of a whole fleet: all nodes start in the same period, know
- * three of them, and learn of the others from messages that mention a few nodes. Guards against
- * messages that grow with the fleet and against nodes that all others write to in the same period.
+ * three of them, and learn of the others from messages that mention a few nodes. A tenth of the
+ * messages is lost. Guards against messages that grow with the fleet and against nodes that all
+ * others write to in the same period.
  */
 class FleetStartReplayTest {
     private static final int SEEDS = 3;
@@ -32,6 +34,10 @@
     /** Time after the last discovery until a node may claim engines, besides two greetings. */
     private static final Duration SETTLE_TIME = Duration.ofMillis(1_600);
 
+    /** Share of the messages that are lost. */
+    private static final double LOSS = 0.1;
+
+    private final Random mRandom = new Random(3);
     private final List<Node> mNodes = new ArrayList<>();
 
     private static final class Node {
@@ -87,6 +93,9 @@
     }
 
     private void deliver(Node from, Peer peer, List<Peer> mentioned, long now) {
+        if (mRandom.nextDouble() < LOSS) {
+            return;
+        }
         Node to = mNodes.get(Integer.parseInt(peer.name().substring(5)));
         to.mReceived++;
         to.mTable.onMessage(from.mPeer, 1, from.mSequence, false, Optional.empty(), now);
--- a/core/src/test/java/org/fescuehollow/exchange/GossipScheduleTest.java
+++ b/core/src/test/java/org/fescuehollow/exchange/GossipScheduleTest.java
@@ -27,21 +27,29 @@
     void recipients_areAsManyInAnyLargeFleet() {
         Set<String> close = Set.of("n1", "n2");
         GossipSchedule large = new GossipSchedule("n0");
-        for (int i = 0; i < 20; i++) {
+        // WHEN all peers of the larger fleet have been greeted twice
+        long periods = 2 * large.greetingDuration(409).dividedBy(GossipSchedule.PERIOD);
+        for (int i = 0; i < periods; i++) {
             then(mSchedule.recipients(peers(74), close)).hasSizeLessThan(40);
             then(large.recipients(peers(409), close)).hasSizeLessThan(40);
         }
+        // THEN a period costs as much in both
         int at75 = mSchedule.recipients(peers(74), close).size();
         int at410 = large.recipients(peers(409), close).size();
         then(at75).isEqualTo(at410).isLessThan(16);
     }
 
     @Test
-    void recipients_includeANewPeerInTheNextPeriod() {
+    void recipients_includeANewOrRestartedPeerInTheNextPeriods() {
         for (int i = 0; i < 20; i++) {
             mSchedule.recipients(peers(74), Set.of());
         }
-        then(mSchedule.recipients(peers(75), Set.of())).contains(peers(75).get(74));
+        Peer newPeer = peers(75).get(74);
+        then(mSchedule.recipients(peers(75), Set.of())).contains(newPeer);
+        then(mSchedule.recipients(peers(75), Set.of())).contains(newPeer);
+        mSchedule.recipients(peers(75), Set.of());
+        mSchedule.onPeerStarted("n3");
+        then(mSchedule.recipients(peers(75), Set.of())).contains(peers(75).get(3));
     }
 
     @Test
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -35,8 +35,8 @@
     /** Time in which a node of a small fleet learns of all other nodes. */
     private static final long BASE_SETTLE_NANOS = Duration.ofMillis(1_600).toNanos();
 
-    /** All nodes greet a new one within one round; a second round makes up for lost messages. */
-    private static final int SETTLE_ROUNDS = 2;
+    /** All nodes greet a new one twice, each time within the time of one greeting. */
+    private static final int SETTLE_GREETINGS = 2;
 
     /** Time between two periodic checks of the engines. */
     private static final long TICK_INTERVAL_MILLIS = 100;
@@ -208,7 +208,7 @@
     boolean isSettled(long now) {
         long since = Math.max(mStartedNanos, exchange().peers().lastDiscoveryNanos());
         return now - since
-                >= BASE_SETTLE_NANOS + exchange().greetingDuration().toNanos() * SETTLE_ROUNDS;
+                >= BASE_SETTLE_NANOS + exchange().greetingDuration().toNanos() * SETTLE_GREETINGS;
     }
 
     /** Returns whether one more load may start. */
