Log the prompt parts of failed attempts and whether an answer had begun

The log could not tell whether the requests that ended with an engine share a part of their prompts. The lines of failed attempts now hold both; decisions are unchanged.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -49,6 +49,7 @@
     private final Engine mEngine;
     private Optional<HttpClientRequest> mEngineRequest = Optional.empty();
     private Optional<EngineInactivityDetector.Stream> mStream = Optional.empty();
+    private boolean mAnswered;
     private boolean mEnded;
 
     Attempt(RequestContext context, ProxiedRequest request, Engine engine) {
@@ -61,6 +62,11 @@
         return mEngine;
     }
 
+    /** Returns whether the engine has begun to answer: with a first event if it is a stream. */
+    boolean isAnswered() {
+        return mAnswered;
+    }
+
     void start() {
         RequestOptions options =
                 new RequestOptions()
@@ -268,6 +274,7 @@
         if (mEnded || data.length() == 0) {
             return;
         }
+        mAnswered = true;
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
         startResponse(response);
         mProxiedRequest.response().write(data);
@@ -303,6 +310,7 @@
         if (!markEnded()) {
             return;
         }
+        mAnswered = true;
         recordHealth(response.statusCode());
         recordFirstByte();
         mProxiedRequest.response().sendComplete(response.statusCode(), response.headers(), body);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -308,12 +308,13 @@
     }
 
     private void onAttemptEnded(Engine engine, String result) {
+        boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
         mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
         publishWork(engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
-            mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns);
+            mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
         }
         mContext.dispatchWaiting();
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
@@ -1,8 +1,10 @@
 package org.fescuehollow.gateway.calls;
 
 import java.time.Duration;
+import java.util.stream.Collectors;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
+import org.fescuehollow.dispatch.PromptSegment;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.gateway.log.EventLog;
 
@@ -64,7 +66,8 @@
                 runs);
     }
 
-    void logAttemptFailed(DispatchRequest request, String engine, String cause, int runs) {
+    void logAttemptFailed(
+            DispatchRequest request, String engine, String cause, int runs, boolean answered) {
         mLog.event(
                 "attempt_failed",
                 "id",
@@ -74,7 +77,13 @@
                 "cause",
                 cause,
                 "runs",
-                runs);
+                runs,
+                "answered",
+                answered,
+                "parts",
+                request.promptSegments().stream()
+                        .map(PromptSegment::id)
+                        .collect(Collectors.joining(",")));
     }
 
     void logEnded(
