--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.fescuehollow.gateway.EntryNode;
 import org.fescuehollow.gateway.node.NodeSettings;
 
@@ -220,6 +221,18 @@
         return send(0, mListenPort, withModel(request, model), "/chat/");
     }
 
+    /** Sends a request for the base model with a prompt of the given parts to a node. */
+    public HttpResponse<String> callWithPrompt(int node, String id, String... parts) {
+        String prefix = Arrays.stream(parts).map(p -> p + ":10").collect(Collectors.joining(","));
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder()
+                        .header("X-Fescuehollow-Attempt-Id", id)
+                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                        .header("X-Fescuehollow-Prompt-Prefix", prefix)
+                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        return send(node, mListenPort, withModel(request, "m"), "/chat/");
+    }
+
     private static HttpRequest.Builder withModel(HttpRequest.Builder request, String model) {
         return request.header("X-Fescuehollow-Model", model)
                 .header("X-Fescuehollow-Token-Usage", "100,10");
