Block requests with a prompt part that crashes engines, on all nodes

Cause: no node remembered what was in a request that ended with its engine. Requests with the part are all different, so each was sent as if it were the first of its kind. Class of fault: a failure that follows the request is treated as a failure of the server, and only for the request at hand.

Fix: traits of requests that a crash ended before their responses are suspect; a response to a request with the trait, on any node, clears it; one suspect through three crashes is blocked, and what waits at engines with it is abandoned. Nodes tell each other at once and in each full state message. Evidence is a pair of growing sets, so order and losses of messages don't matter. Traits that sound requests share stay served, as these are answered elsewhere; engines that fail at the same moment, or that answer right afterwards, prove nothing.

--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -0,0 +1,223 @@
+package org.fescuehollow.suspects;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.hashing.Rendezvous;
+
+/**
+ * Finds what requests that crash backend servers have in common, such as a part of their prompts,
+ * and blocks requests with that trait.
+ *
+ * <p>Load pattern: requests that are all different share a trait that crashes each server that
+ * begins to answer one. They arrive at any node, among sound requests that share their other traits
+ * and that lose their answers in the same crashes.
+ *
+ * <p>A crash casts suspicion on the traits of all requests that it ended before their responses
+ * began. A trait is cleared by the next response to a request with it, on any node, and all traits
+ * by a response of the server itself. A trait that stays suspect through {@link #CRASH_LIMIT}
+ * crashes is blocked; those crashes then count against no trait with fewer of them.
+ *
+ * <p>Invariants: an incarnation of a server counts once for each trait; servers that crash together
+ * block nothing; at most {@link #MAX_TRAITS} traits are held; evidence is dropped {@link
+ * #RETENTION} after the last crash. Not safe for concurrent use.
+ */
+public final class CrashTraits {
+    /** The number of crashes after which a trait is blocked. */
+    public static final int CRASH_LIMIT = 3;
+
+    /** The maximum number of traits held. */
+    public static final int MAX_TRAITS = 1_024;
+
+    /** The time from the last crash until the evidence for a trait is dropped. */
+    public static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** The shortest time between the first and the last crash; many servers may fail together. */
+    private static final Duration MIN_SPAN = Duration.ofSeconds(1);
+
+    /** Shorter than a restart, so that a response within this time comes from the same process. */
+    private static final Duration MIN_RESTART = Duration.ofMillis(1_500);
+
+    /** More crashes than this add nothing to the evidence for a trait. */
+    private static final int MAX_CRASHES_PER_TRAIT = 16;
+
+    private final Map<Long, CrashSuspicion> mSuspicions = new LinkedHashMap<>();
+
+    /**
+     * Returns the identity that a crash of a server has on every node.
+     *
+     * @param server the incarnation of the server
+     * @return the hash of the incarnation
+     */
+    public static long crashOf(Engine server) {
+        return Rendezvous.weight(Rendezvous.hash(server.id()), server.startedMillis());
+    }
+
+    /**
+     * Records that a server crashed before it began to answer a request.
+     *
+     * @param traits the request's traits
+     * @param crash the identity of the crash
+     * @param now the monotonic time in nanoseconds
+     * @return the changed evidence, to be told to the other nodes
+     */
+    public List<CrashSuspicion> onCrash(Collection<Long> traits, long crash, long now) {
+        return traits.stream()
+                .distinct()
+                .map(t -> merge(new CrashSuspicion(t, Map.of(crash, now), Set.of()), now))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    /**
+     * Records that a server began to answer a request.
+     *
+     * @param traits the request's traits, which crash no server
+     * @param crash the identity that a crash of the server has
+     * @param sentNanos when the request was sent to the server
+     * @param now the monotonic time in nanoseconds
+     * @return the changed evidence, to be told to the other nodes
+     */
+    public List<CrashSuspicion> onAnswered(
+            Collection<Long> traits, long crash, long sentNanos, long now) {
+        List<CrashSuspicion> refuted =
+                mSuspicions.values().stream()
+                        .map(
+                                s ->
+                                        traits.contains(s.trait())
+                                                ? s.refute(s.crashes().keySet())
+                                                : refuteIfAlive(s, crash, sentNanos, now))
+                        .filter(s -> !s.isSameEvidence(mSuspicions.get(s.trait())))
+                        .toList();
+        refuted.forEach(s -> mSuspicions.put(s.trait(), s));
+        return refuted;
+    }
+
+    private static CrashSuspicion refuteIfAlive(
+            CrashSuspicion s, long crash, long sentNanos, long now) {
+        Long crashNanos = s.crashes().get(crash);
+        boolean alive =
+                crashNanos != null
+                        && sentNanos > crashNanos
+                        && now - crashNanos < MIN_RESTART.toNanos();
+        return alive ? s.refute(Set.of(crash)) : s;
+    }
+
+    /**
+     * Adds evidence of this or another node.
+     *
+     * @param suspicion the evidence
+     * @param now the monotonic time in nanoseconds
+     * @return the evidence of both if it changed, otherwise empty
+     */
+    public Optional<CrashSuspicion> merge(CrashSuspicion suspicion, long now) {
+        mSuspicions.values().removeIf(s -> isExpired(s, now));
+        CrashSuspicion known = mSuspicions.get(suspicion.trait());
+        CrashSuspicion merged = known == null ? suspicion : known.merge(suspicion);
+        boolean unchanged =
+                known != null
+                        && (known.isSameEvidence(merged)
+                                || merged.crashes().size() > MAX_CRASHES_PER_TRAIT);
+        if (unchanged || isExpired(merged, now)) {
+            return Optional.empty();
+        }
+        mSuspicions.put(merged.trait(), merged);
+        if (mSuspicions.size() > MAX_TRAITS) {
+            mSuspicions.remove(leastSuspect());
+        }
+        return Optional.of(merged);
+    }
+
+    private static boolean isExpired(CrashSuspicion s, long now) {
+        return s.crashes().values().stream().allMatch(t -> now - t >= RETENTION.toNanos());
+    }
+
+    /** Returns the trait with the fewest open crashes, and of these the one known longest. */
+    private long leastSuspect() {
+        return mSuspicions.values().stream()
+                .min(Comparator.comparingInt(s -> s.open().size()))
+                .orElseThrow()
+                .trait();
+    }
+
+    /**
+     * Returns the evidence for a trait.
+     *
+     * @param trait the hash of the trait
+     * @return the evidence, or empty if there is none
+     */
+    public Optional<CrashSuspicion> find(long trait) {
+        return Optional.ofNullable(mSuspicions.get(trait));
+    }
+
+    /**
+     * Finds a blocked trait among those of a request.
+     *
+     * @param traits the request's traits
+     * @param now the monotonic time in nanoseconds
+     * @return the trait, or empty if the request may be sent
+     */
+    public Optional<Long> findBlocked(Collection<Long> traits, long now) {
+        return mSuspicions.isEmpty()
+                ? Optional.empty()
+                : traits.stream().filter(t -> isBlocked(t, now)).findFirst();
+    }
+
+    /**
+     * Returns whether requests with a trait are blocked.
+     *
+     * @param trait the hash of the trait
+     * @param now the monotonic time in nanoseconds
+     * @return true if they would probably crash the server
+     */
+    public boolean isBlocked(long trait, long now) {
+        CrashSuspicion s = mSuspicions.get(trait);
+        if (s == null || isExpired(s, now) || !isEnough(s.open())) {
+            return false;
+        }
+        Map<Long, Long> unexplained = new HashMap<>(s.open());
+        mSuspicions.values().stream()
+                .map(CrashSuspicion::open)
+                .filter(open -> open.size() > s.open().size() && isEnough(open))
+                .forEach(open -> unexplained.keySet().removeAll(open.keySet()));
+        return isEnough(unexplained);
+    }
+
+    private static boolean isEnough(Map<Long, Long> crashes) {
+        return crashes.size() >= CRASH_LIMIT
+                && Collections.max(crashes.values()) - Collections.min(crashes.values())
+                        >= MIN_SPAN.toNanos();
+    }
+
+    /**
+     * Returns the evidence that a node which has just started needs most.
+     *
+     * @param limit the maximum number of traits
+     * @return the open suspicions, those with the most crashes first
+     */
+    public List<CrashSuspicion> openSuspicions(int limit) {
+        return mSuspicions.values().stream()
+                .filter(s -> !s.open().isEmpty())
+                .sorted(Comparator.comparingInt((CrashSuspicion s) -> -s.open().size()))
+                .limit(limit)
+                .toList();
+    }
+
+    /**
+     * Returns the blocked traits.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return their hashes
+     */
+    public List<Long> blocked(long now) {
+        return mSuspicions.keySet().stream().filter(t -> isBlocked(t, now)).toList();
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -25,6 +25,7 @@
 import org.fescuehollow.gateway.training.CdsTraining;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.suspects.CrashTraits;
 
 /**
  * The gateway process on an entry VM.
@@ -96,12 +97,13 @@
                         new GatewayMetrics());
         ResidencyTable residency = new ResidencyTable();
         Dispatcher dispatcher = new Dispatcher(settings.domain(), residency);
+        CrashTraits crashTraits = new CrashTraits();
         mKernel =
                 Kernel.of(
                         new CatalogService(mContext),
                         new OrderService(mContext, dispatcher, residency),
-                        new ExchangeService(mContext, dispatcher, residency),
-                        new FrontendService(mContext, dispatcher, residency),
+                        new ExchangeService(mContext, dispatcher, residency, crashTraits),
+                        new FrontendService(mContext, dispatcher, residency, crashTraits),
                         new ReadinessService(mContext),
                         new MetricsService(mContext));
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -49,6 +49,7 @@
     private final Engine mEngine;
     private Optional<HttpClientRequest> mEngineRequest = Optional.empty();
     private Optional<EngineInactivityDetector.Stream> mStream = Optional.empty();
+    private long mSentNanos;
     private boolean mAnswered;
     private boolean mEnded;
 
@@ -112,8 +113,9 @@
             RequestHead.setLastEventId(
                     request.headers(), mProxiedRequest.eventSplitter().lastEventId());
         }
-        request.exceptionHandler(this::onFailure);
-        request.response().onSuccess(this::onResponse).onFailure(this::onFailure);
+        mSentNanos = mContext.now();
+        request.exceptionHandler(this::onBroken);
+        request.response().onSuccess(this::onResponse).onFailure(this::onBroken);
         mProxiedRequest.onSent();
         if (mProxiedRequest.route().kind() == RouteKind.STREAM) {
             mStream = Optional.of(mContext.watchStream(this, mProxiedRequest.route()));
@@ -124,13 +126,27 @@
     private void sendBody(HttpClientRequest request) {
         Buffer body = mProxiedRequest.body();
         if (body.length() > 0) {
-            request.end(body).onFailure(this::onFailure);
+            request.end(body).onFailure(this::onBroken);
             return;
         }
         if (!request.getMethod().equals(HttpMethod.GET)) {
             request.putHeader(HttpHeaders.CONTENT_LENGTH, "0");
         }
-        request.end().onFailure(this::onFailure);
+        request.end().onFailure(this::onBroken);
+    }
+
+    private void onBroken(Throwable cause) {
+        if (!mEnded && !mAnswered) {
+            mProxiedRequest.onBroken(mEngine);
+        }
+        onFailure(cause);
+    }
+
+    private void markAnswered() {
+        if (!mAnswered) {
+            mAnswered = true;
+            mProxiedRequest.onAnswered(mEngine, mSentNanos);
+        }
     }
 
     private void onFailure(Throwable cause) {
@@ -179,7 +195,7 @@
         if (mEnded) {
             return;
         }
-        response.exceptionHandler(this::onFailure);
+        response.exceptionHandler(this::onBroken);
         ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
         boolean otherRequest =
                 !head.attemptId().isEmpty()
@@ -274,7 +290,7 @@
         if (mEnded || data.length() == 0) {
             return;
         }
-        mAnswered = true;
+        markAnswered();
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
         startResponse(response);
         mProxiedRequest.response().write(data);
@@ -310,7 +326,7 @@
         if (!markEnded()) {
             return;
         }
-        mAnswered = true;
+        markAnswered();
         recordHealth(response.statusCode());
         recordFirstByte();
         mProxiedRequest.response().sendComplete(response.statusCode(), response.headers(), body);
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CrashGuard.java
@@ -0,0 +1,47 @@
+package org.fescuehollow.gateway.calls;
+
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.gateway.exchange.SuspicionExchange;
+import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.suspects.CrashTraits;
+
+/**
+ * Reports what became of requests at engines to {@link CrashTraits}, here and on the other nodes.
+ *
+ * <p>Not thread-safe; used on the node's event loop.
+ */
+final class CrashGuard {
+    private final NodeContext mNode;
+    private final CrashTraits mTraits;
+    private final SuspicionExchange mExchange;
+
+    CrashGuard(NodeContext node, CrashTraits traits, SuspicionExchange exchange) {
+        mNode = node;
+        mTraits = traits;
+        mExchange = exchange;
+    }
+
+    /** Returns a trait for which requests are blocked, if any of the given ones is. */
+    Optional<Long> findBlocked(Set<Long> traits) {
+        return mTraits.findBlocked(traits, mNode.clock().now());
+    }
+
+    /**
+     * Records that an engine closed the connection of a request that it had not begun to answer.
+     */
+    void onBroken(Engine engine, Set<Long> traits) {
+        // An engine that leaves may end with requests open.
+        if (!engine.draining()) {
+            long crash = CrashTraits.crashOf(engine);
+            mExchange.onFound(mTraits.onCrash(traits, crash, mNode.clock().now()));
+        }
+    }
+
+    /** Records that an engine has begun to answer a request. */
+    void onAnswered(Engine engine, Set<Long> traits, long sentNanos) {
+        long crash = CrashTraits.crashOf(engine);
+        mExchange.onFound(mTraits.onAnswered(traits, crash, sentNanos, mNode.clock().now()));
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -25,6 +25,7 @@
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.suspects.CrashTraits;
 
 /** Accepts the requests of clients. Not thread-safe; used on the node's event loop. */
 public final class FrontendService implements Service {
@@ -55,6 +56,7 @@
     private final NodeContext mNode;
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
+    private final CrashTraits mCrashTraits;
     private final Set<HttpConnection> mConnections = new HashSet<>();
     private final Set<HttpConnection> mBusyConnections = new HashSet<>();
     private RequestContext mContext;
@@ -68,11 +70,17 @@
      * @param node the context of the node
      * @param dispatcher the dispatcher, which chooses engines
      * @param residency the table that records adapters that engines lack
+     * @param crashTraits the evidence for traits of requests that crash engines
      */
-    public FrontendService(NodeContext node, Dispatcher dispatcher, ResidencyTable residency) {
+    public FrontendService(
+            NodeContext node,
+            Dispatcher dispatcher,
+            ResidencyTable residency,
+            CrashTraits crashTraits) {
         mNode = node;
         mDispatcher = dispatcher;
         mResidency = residency;
+        mCrashTraits = crashTraits;
     }
 
     @Override
@@ -85,7 +93,11 @@
         CatalogService catalog = kernel.find(CatalogService.NAME, CatalogService.class);
         OrderService orders = kernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = kernel.find(ExchangeService.NAME, ExchangeService.class);
-        mContext = new RequestContext(mNode, catalog, mDispatcher, mResidency, orders, exchange);
+        CrashGuard crashGuard = new CrashGuard(mNode, mCrashTraits, exchange.suspicions());
+        mContext =
+                new RequestContext(
+                        mNode, catalog, mDispatcher, mResidency, orders, exchange, crashGuard);
+        exchange.suspicions().onBlocked(mContext::abandonBlocked);
         catalog.onChange(this::onCatalogChanged);
         mNode.vertx().runOnContext(v -> onCatalogChanged());
         orders.onChange(mContext::dispatchWaiting);
@@ -199,8 +211,7 @@
                         body,
                         route.get(),
                         head,
-                        ProxiedRequest.createDispatchRequest(
-                                mContext, route.get(), head, draw, mContext.now()))
+                        DispatchRequests.of(mContext, route.get(), head, draw, mContext.now()))
                 .start();
     }
 
@@ -252,6 +263,12 @@
 
     @Override
     public Object dump() {
-        return Map.of("open", mContext.openRequests(), "waiting", mContext.waitQueue().size());
+        return Map.of(
+                "open",
+                mContext.openRequests(),
+                "waiting",
+                mContext.waitQueue().size(),
+                "blockedTraits",
+                mCrashTraits.blocked(mContext.now()).stream().map(Long::toHexString).toList());
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/GatewayError.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/GatewayError.java
@@ -12,6 +12,8 @@
     NO_CONFIGURATION(503, true, "no_configuration"),
     /** The request did not run and will not run. */
     NOT_RUN(503, true, "not_run"),
+    /** The request did not run, as similar ones crashed engines. */
+    CRASHES_ENGINES(503, true, "crashes_engines"),
     /** The request may have run, and its response is lost. */
     ANSWER_LOST(502, false, "answer_lost"),
     /** The deadline has passed, and the request may still run. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
@@ -14,6 +13,7 @@
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.residency.AdapterDemand;
+import org.fescuehollow.suspects.RequestTraits;
 
 /**
  * One client request, from its arrival to the end of its response.
@@ -33,6 +33,7 @@
     private final RequestHead mHead;
     private final RequestLog mLog;
     private DispatchRequest mDispatchRequest;
+    private final Set<Long> mTraits;
     private final ClientResponse mResponse;
     private final SseEventSplitter mEventSplitter = new SseEventSplitter();
     private final Set<String> mExcludedEngines = new HashSet<>();
@@ -58,29 +59,11 @@
         mRoute = route;
         mHead = head;
         mDispatchRequest = dispatchRequest;
+        mTraits = RequestTraits.of(dispatchRequest.promptSegments());
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
     }
 
-    static DispatchRequest createDispatchRequest(
-            RequestContext context, Route route, RequestHead head, double draw, long now) {
-        long millis = Math.min(route.timeoutMillis(), head.timeoutMillis().orElse(Long.MAX_VALUE));
-        AdapterKey adapter = head.adapter();
-        return new DispatchRequest(
-                head.attemptId(),
-                route.pickService(draw),
-                adapter,
-                context.catalog().adapterVersion(adapter),
-                head.promptTokens(),
-                head.expectedOutputTokens(),
-                head.promptParts(),
-                route.rank(),
-                now,
-                now + Duration.ofMillis(route.objectiveMillis()).toNanos(),
-                now + Duration.ofMillis(millis).toNanos(),
-                false);
-    }
-
     DispatchRequest dispatchRequest() {
         return mDispatchRequest;
     }
@@ -153,6 +136,10 @@
         if (mDone) {
             return true;
         }
+        if (isBlocked()) {
+            fail(mMayHaveRun ? GatewayError.ANSWER_LOST : GatewayError.CRASHES_ENGINES);
+            return true;
+        }
         long now = mContext.now();
         Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
         if (placement instanceof Placement.Send send) {
@@ -166,6 +153,21 @@
         return false;
     }
 
+    private boolean isBlocked() {
+        return mContext.crashGuard().findBlocked(mTraits).isPresent();
+    }
+
+    /** Abandons the request if it waits at an engine that it would crash. */
+    void abandonIfBlocked() {
+        Optional<Attempt> attempt = mAttempt.filter(a -> !a.isAnswered());
+        if (attempt.isPresent() && isBlocked()) {
+            attempt.get().cancel();
+            onAttemptEnded(attempt.get().engine(), "abandoned");
+            mMayHaveRun = true;
+            fail(GatewayError.ANSWER_LOST);
+        }
+    }
+
     private void requestAdapter(DispatchRequest dispatchRequest, String engine) {
         AdapterDemand demand =
                 new AdapterDemand(
@@ -182,6 +184,7 @@
         publishWork(engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
+        mContext.onSentToEngine(this);
         mLog.logSent(mRoute, mDispatchRequest, engine.id(), mRuns, now);
         attempt.start();
         return true;
@@ -194,6 +197,16 @@
         mContext.dispatchWaiting();
     }
 
+    /** Records that an engine has begun to answer a request that was sent to it at a time. */
+    void onAnswered(Engine engine, long sentNanos) {
+        mContext.crashGuard().onAnswered(engine, mTraits, sentNanos);
+    }
+
+    /** Records that an engine closed the connection without beginning to answer. */
+    void onBroken(Engine engine) {
+        mContext.crashGuard().onBroken(engine, mTraits);
+    }
+
     /** Records that an attempt sends the request to an engine, which may run it from now on. */
     void onSent() {
         mRuns++;
@@ -310,6 +323,7 @@
     private void onAttemptEnded(Engine engine, String result) {
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
+        mContext.onLeftEngine(this);
         mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
         publishWork(engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
@@ -362,6 +376,7 @@
 
     private void finish(String outcome, String detail) {
         mDone = true;
+        mContext.onLeftEngine(this);
         mAttempt.ifPresent(
                 a -> {
                     mContext.dispatcher().onEnded(a.engine().id(), mDispatchRequest);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
@@ -31,6 +33,8 @@
     private final ResidencyTable mResidency;
     private final OrderService mOrders;
     private final ExchangeService mExchange;
+    private final CrashGuard mCrashGuard;
+    private final Set<ProxiedRequest> mSent = new LinkedHashSet<>();
     private final WaitQueue<ProxiedRequest> mWaitQueue =
             new WaitQueue<>(ProxiedRequest::dispatchRequest);
     private final Map<String, WindowedRetryBudget> mRetryBudgets = new HashMap<>();
@@ -47,13 +51,15 @@
             Dispatcher dispatcher,
             ResidencyTable residency,
             OrderService orders,
-            ExchangeService exchange) {
+            ExchangeService exchange,
+            CrashGuard crashGuard) {
         mNode = node;
         mCatalog = catalog;
         mDispatcher = dispatcher;
         mResidency = residency;
         mOrders = orders;
         mExchange = exchange;
+        mCrashGuard = crashGuard;
         mInactivityDetector =
                 new EngineInactivityDetector(
                         Duration.ofMillis(SILENCE_CHECK_MILLIS), node.clock().now());
@@ -83,6 +89,25 @@
         return mOrders;
     }
 
+    CrashGuard crashGuard() {
+        return mCrashGuard;
+    }
+
+    /** Records that a request is at an engine, until {@link #onLeftEngine}. */
+    void onSentToEngine(ProxiedRequest request) {
+        mSent.add(request);
+    }
+
+    void onLeftEngine(ProxiedRequest request) {
+        mSent.remove(request);
+    }
+
+    /** Abandons the requests at engines that have become blocked. */
+    void abandonBlocked() {
+        List.copyOf(mSent).forEach(ProxiedRequest::abandonIfBlocked);
+        dispatchWaiting();
+    }
+
     WaitQueue<ProxiedRequest> waitQueue() {
         return mWaitQueue;
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -5,7 +5,6 @@
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,10 +25,12 @@
 import org.fescuehollow.residency.AdapterDemand;
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.suspects.CrashTraits;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
 import org.fescuehollow.wire.ExchangeProto.PeerSeen;
+import org.fescuehollow.wire.ExchangeProto.TraitSuspicion;
 
 /**
  * Exchanges state messages with the other entry nodes.
@@ -68,8 +69,9 @@
     private final ResidencyTable mResidency;
     private final PeerTable mPeers;
     private final GossipSchedule mSchedule;
+    private final SuspicionExchange mSuspicions;
     private final long mIncarnation = System.currentTimeMillis();
-    private final Set<String> mLiveNodes = new HashSet<>();
+    private final LivePeers mLivePeers;
     private final Set<String> mChangedWork = new LinkedHashSet<>();
     private List<String> mSeeds;
     private DatagramSocket mSocket;
@@ -88,15 +90,22 @@
      * @param context the context of the node
      * @param dispatcher the dispatcher, which receives the work of other nodes
      * @param residency the table that records the holdings of other nodes
+     * @param crashTraits the evidence for traits of requests that crash engines
      */
-    public ExchangeService(NodeContext context, Dispatcher dispatcher, ResidencyTable residency) {
+    public ExchangeService(
+            NodeContext context,
+            Dispatcher dispatcher,
+            ResidencyTable residency,
+            CrashTraits crashTraits) {
         mContext = context;
         mDispatcher = dispatcher;
         mResidency = residency;
         NodeSettings s = context.settings();
         mPeers = new PeerTable(new Peer(s.node(), s.domain(), s.ip()), context.clock().now());
+        mLivePeers = new LivePeers(context, mPeers);
         mSeeds = s.seeds();
         mSchedule = new GossipSchedule(s.node());
+        mSuspicions = new SuspicionExchange(context, crashTraits, this::sendSuspicions);
     }
 
     @Override
@@ -110,7 +119,7 @@
         mCatalog = kernel.find(CatalogService.NAME, CatalogService.class);
         mMessageHandler =
                 new StateMessageHandler(
-                        mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders);
+                        mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders, mSuspicions);
         mWorkEncoder = new WorkEncoder(mDispatcher, mResidency, mCatalog, mPeers);
         mCatalog.onEngineLeaving(this::sendEngineLeaving);
         mStartedNanos = mContext.clock().now();
@@ -166,7 +175,7 @@
         mPeers.setLivenessTimeout(ttl);
         mResidency.setUpdateTtl(ttl);
         mDispatcher.setNodeCount(mPeers.size());
-        updateLiveNodes(now);
+        mLivePeers.update(now);
         StateMessages messages = new StateMessages(now);
         List<Peer> recipients = mLeaving ? peers : mSchedule.recipients(peers, sharedClaimants());
         recipients.forEach(p -> send(messages.fullState(Optional.of(p)), p.ip()));
@@ -199,29 +208,13 @@
         return mSchedule.isFullMesh(mPeers.size() - 1);
     }
 
-    private void updateLiveNodes(long now) {
-        for (Peer p : mPeers.peers()) {
-            boolean live = mPeers.isLive(p.name(), now);
-            if (live && mLiveNodes.add(p.name())) {
-                mContext.log().event("node_regained", "node", p.name());
-            } else if (!live && mLiveNodes.remove(p.name())) {
-                mContext.log()
-                        .event(
-                                "node_lost",
-                                "node",
-                                p.name(),
-                                "silent_ms",
-                                mPeers.heardMillisAgo(p.name(), now).orElse(-1L));
-            }
-        }
-    }
-
     /** The full state messages of one period and the content they share. */
     private final class StateMessages {
         private final long mNow;
         private final List<EngineWork> mWork;
         private final List<EngineHolding> mHoldings;
         private final Map<String, PeerSeen> mMentioned;
+        private final List<TraitSuspicion> mOpenSuspicions;
 
         StateMessages(long now) {
             mNow = now;
@@ -230,13 +223,18 @@
                     mOrders.holdings().entrySet().stream()
                             .map(e -> encodeHolding(e.getKey(), e.getValue(), now))
                             .toList();
+            mOpenSuspicions = mSuspicions.fullState(now);
             mMentioned =
                     nodesToMention(now).stream()
                             .collect(Collectors.toMap(Peer::name, p -> encodePeer(p, now)));
         }
 
         byte[] fullState(Optional<Peer> to) {
-            NodeNews.Builder message = messageBuilder().setWhole(true).addAllHoldings(mHoldings);
+            NodeNews.Builder message =
+                    messageBuilder()
+                            .setWhole(true)
+                            .addAllHoldings(mHoldings)
+                            .addAllSuspicions(mOpenSuspicions);
             to.ifPresent(p -> message.addPeers(encodePeer(p, mNow)));
             mMentioned.forEach(
                     (name, seen) -> {
@@ -279,11 +277,7 @@
     }
 
     private PeerSeen encodePeer(Peer p, long now) {
-        PeerSeen.Builder seen =
-                PeerSeen.newBuilder().setNode(p.name()).setDomain(p.domain()).setIp(p.ip());
-        // Offset by one, as 0 means that the node was never heard from.
-        mPeers.heardMillisAgo(p.name(), now).ifPresent(m -> seen.setHeardMsAgo((int) (m + 1)));
-        return seen.build();
+        return StateMessageCodec.seen(p, mPeers.heardMillisAgo(p.name(), now));
     }
 
     private void send(byte[] message, String ip) {
@@ -323,11 +317,22 @@
         sendToLive(messageBuilder().addLeavingEngines(StateMessageCodec.leaving(engine)).build());
     }
 
+    private void sendSuspicions(List<TraitSuspicion> suspicions) {
+        sendToLive(messageBuilder().addAllSuspicions(suspicions).build());
+    }
+
+    /**
+     * Returns the exchange of evidence for traits of requests that crash engines.
+     *
+     * @return the exchange
+     */
+    public SuspicionExchange suspicions() {
+        return mSuspicions;
+    }
+
     private void sendToLive(NodeNews message) {
         byte[] bytes = message.toByteArray();
-        mPeers.peers().stream()
-                .filter(p -> mLiveNodes.contains(p.name()))
-                .forEach(p -> send(bytes, p.ip()));
+        mLivePeers.peers().forEach(p -> send(bytes, p.ip()));
     }
 
     /**
@@ -347,8 +352,8 @@
         long now = mContext.clock().now();
         List<EngineWork> changed = mChangedWork.stream().map(mWorkEncoder::work).toList();
         mChangedWork.clear();
-        mPeers.peers().stream()
-                .filter(p -> mLiveNodes.contains(p.name()))
+        mLivePeers
+                .peers()
                 .forEach(
                         p -> {
                             List<EngineWork> work = workFor(p, changed, now);
@@ -390,6 +395,6 @@
 
     @Override
     public Object dump() {
-        return Map.of("nodes", mPeers.peers().toString(), "live", mLiveNodes.toString());
+        return Map.of("nodes", mPeers.peers().toString(), "live", mLivePeers.names().toString());
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
@@ -2,19 +2,26 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.dispatch.EngineLoad;
+import org.fescuehollow.exchange.Peer;
 import org.fescuehollow.residency.AdapterDemand;
 import org.fescuehollow.residency.Holding;
+import org.fescuehollow.suspects.CrashSuspicion;
 import org.fescuehollow.wire.ExchangeProto.Adapter;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.EngineLeaving;
 import org.fescuehollow.wire.ExchangeProto.EngineWant;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
+import org.fescuehollow.wire.ExchangeProto.PeerSeen;
+import org.fescuehollow.wire.ExchangeProto.TraitCrash;
+import org.fescuehollow.wire.ExchangeProto.TraitSuspicion;
 
 /** Converts between domain types and the state messages of nodes. Stateless. */
 final class StateMessageCodec {
@@ -83,6 +90,46 @@
                 now + Duration.ofMillis(want.getPatienceMs()).toNanos());
     }
 
+    static PeerSeen seen(Peer peer, Optional<Long> heardMillisAgo) {
+        PeerSeen.Builder seen =
+                PeerSeen.newBuilder()
+                        .setNode(peer.name())
+                        .setDomain(peer.domain())
+                        .setIp(peer.ip());
+        // Offset by one, as 0 means that the node was never heard from.
+        heardMillisAgo.ifPresent(m -> seen.setHeardMsAgo((int) (m + 1)));
+        return seen.build();
+    }
+
+    static TraitSuspicion suspicion(CrashSuspicion suspicion, long now) {
+        TraitSuspicion.Builder message = TraitSuspicion.newBuilder().setTrait(suspicion.trait());
+        suspicion
+                .crashes()
+                .forEach(
+                        (crash, nanos) ->
+                                message.addCrashes(
+                                        TraitCrash.newBuilder()
+                                                .setCrash(crash)
+                                                .setMsAgo(
+                                                        (int)
+                                                                Duration.ofNanos(now - nanos)
+                                                                        .toMillis())
+                                                .setRefuted(suspicion.refuted().contains(crash))));
+        return message.build();
+    }
+
+    static CrashSuspicion suspicion(TraitSuspicion message, long now) {
+        Map<Long, Long> crashes = new HashMap<>();
+        Set<Long> refuted = new HashSet<>();
+        for (TraitCrash c : message.getCrashesList()) {
+            crashes.put(c.getCrash(), now - Duration.ofMillis(c.getMsAgo()).toNanos());
+            if (c.getRefuted()) {
+                refuted.add(c.getCrash());
+            }
+        }
+        return new CrashSuspicion(message.getTrait(), crashes, refuted);
+    }
+
     static EngineHolding holding(String engine, Holding holding, EngineLoad.Work total) {
         Map<AdapterKey, Long> adapters = holding.adapters();
         return EngineHolding.newBuilder()
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +16,7 @@
 import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.suspects.CrashSuspicion;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
 
@@ -31,6 +33,7 @@
     private final ResidencyTable mResidency;
     private final CatalogService mCatalog;
     private final OrderService mOrders;
+    private final SuspicionExchange mSuspicions;
     private final Map<String, Set<String>> mEnginesByHolder = new HashMap<>();
 
     StateMessageHandler(
@@ -39,13 +42,15 @@
             Dispatcher dispatcher,
             ResidencyTable residency,
             CatalogService catalog,
-            OrderService orders) {
+            OrderService orders,
+            SuspicionExchange suspicions) {
         mContext = context;
         mPeers = peers;
         mDispatcher = dispatcher;
         mResidency = residency;
         mCatalog = catalog;
         mOrders = orders;
+        mSuspicions = suspicions;
     }
 
     /**
@@ -95,6 +100,11 @@
         }
         message.getLeavingEnginesList()
                 .forEach(e -> mCatalog.onEngineLeavingReported(e.getEngine(), e.getStartedMs()));
+        List<CrashSuspicion> suspicions =
+                message.getSuspicionsList().stream()
+                        .map(s -> StateMessageCodec.suspicion(s, now))
+                        .toList();
+        mSuspicions.onReceived(suspicions);
         message.getWantsList()
                 .forEach(
                         w ->
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -155,6 +155,11 @@
         }
     }
 
+    /** Closes all connections and accepts no more, as a process that has crashed. */
+    public void crash() {
+        mServer.close();
+    }
+
     public void dropConnection(ReceivedRequest received, HttpServerRequest request) {
         request.connection().close();
     }
