Break off streams that end within an event on routes that may not be resumed

What callers saw: a stream whose engine closed the connection within an event looked complete if the response had neither a length nor chunks.

Cause: only streams that may be resumed were split into events; others were relayed as bytes, and the end of the connection ended the response. Class of fault: the end of a connection taken for the end of a message.

Fix: all streams are split into events, so that one which ends within an event is known to be broken off.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -244,11 +244,7 @@
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
         if (mProxiedRequest.route().kind() == RouteKind.STREAM && head.status() == STATUS_OK) {
-            if (mProxiedRequest.route().resumable()) {
-                response.handler(b -> relayEvents(response, b));
-            } else {
-                response.handler(b -> relay(response, b));
-            }
+            response.handler(b -> relayEvents(response, b));
             response.endHandler(v -> onRelayedEnd(response));
         } else {
             Buffer buffered = Buffer.buffer();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/SseEventSplitter.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/SseEventSplitter.java
@@ -4,7 +4,8 @@
 
 /**
  * Splits a stream of server-sent events into complete events and keeps the id of the last one, so
- * that the stream can be resumed at another engine without lost, repeated or merged events.
+ * that the stream can be resumed at another engine without lost, repeated or merged events, and
+ * that one which ends within an event is known to be broken off.
  *
  * <p>Not thread-safe; used on the node's event loop.
  */
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -80,6 +80,15 @@
         return server;
     }
 
+    /** Registers a server whose responses end with their connections. */
+    public UnframedServer addUnframedServer(String id, String service) {
+        UnframedServer server = new UnframedServer(mVertx);
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return server;
+    }
+
     /** Registers a server that sends late copies of its responses. */
     public LateCopyServer addLateCopyServer(String id, String service) {
         LateCopyServer server = new LateCopyServer(mVertx);
@@ -89,7 +98,10 @@
         return server;
     }
 
-    /** Publishes routes for idempotent, non-idempotent and resumable streaming requests. */
+    /**
+     * Publishes routes for idempotent and non-idempotent requests, and for streams that may and may
+     * not be resumed.
+     */
     public void configure(long version) {
         String[] hosts = new String[MAX_NODES];
         Arrays.setAll(hosts, i -> "127.0.0." + (i + 1));
@@ -102,7 +114,8 @@
         for (String host : hosts) {
             routes.add(route(host, "idempotent", "/read/", "plain", 2))
                     .add(route(host, "non_idempotent", "/pay/", "plain", 1))
-                    .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true));
+                    .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true))
+                    .add(route(host, "streaming", "/talk/", "llm", 1));
         }
         JsonObject engine =
                 new JsonObject()
@@ -198,6 +211,16 @@
         return send(node, mReadinessPort, HttpRequest.newBuilder(), "/").statusCode();
     }
 
+    /** Sends a request for the base model to the first node and returns its response. */
+    public HttpResponse<String> callBaseModel(String path, String id) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder()
+                        .header("X-Fescuehollow-Attempt-Id", id)
+                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        return send(0, mListenPort, withModel(request, "m"), path);
+    }
+
     /** Sends a request with the given id to a node and returns its response. */
     public HttpResponse<String> call(int node, String path, String id, String body) {
         HttpRequest.Builder request =
@@ -205,7 +228,7 @@
                         .header("X-Fescuehollow-Attempt-Id", id)
                         .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
                         .POST(HttpRequest.BodyPublishers.ofString(body));
-        if (path.startsWith("/chat/")) {
+        if (path.startsWith("/chat/") || path.startsWith("/talk/")) {
             withModel(request, "m/a1");
         }
         return send(node, mListenPort, request, path);
