Send requests that share only some of the traits which crashed together

What callers saw: once the part that crashes engines was blocked, sound requests that shared another part with those requests were refused as well.

Cause: traits that were suspect in the same crashes were blocked each by itself, and a blocked trait gets no response that could clear it. Class of fault: evidence against a group taken as evidence against each member.

Fix: they are blocked together. A request with only some of them is sent; a response clears these, and a crash leaves the others behind.

--- a/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -24,7 +24,9 @@
  * <p>A crash casts suspicion on the traits of all requests that it ended before their responses
  * began. A trait is cleared by the next response to a request with it, on any node, and all traits
  * by a response of the server itself. A trait that stays suspect through {@link #CRASH_LIMIT}
- * crashes is blocked; those crashes then count against no trait with fewer of them.
+ * crashes is blocked; those crashes then count against no trait with fewer of them. Traits that
+ * were suspect in the same crashes only are blocked together: a request with some of them is sent,
+ * and tells which of them it is.
  *
  * <p>Invariants: an incarnation of a server counts once for each trait; servers that crash together
  * block nothing; at most {@link #MAX_TRAITS} traits are held; evidence is dropped {@link
@@ -168,15 +170,27 @@
     public Optional<Long> findBlocked(Collection<Long> traits, long now) {
         return mSuspicions.isEmpty()
                 ? Optional.empty()
-                : traits.stream().filter(t -> isBlocked(t, now)).findFirst();
+                : traits.stream()
+                        .filter(t -> isBlocked(t, now) && traits.containsAll(companions(t)))
+                        .findFirst();
+    }
+
+    /** Returns the traits that were suspect in the same crashes as a trait, itself included. */
+    private List<Long> companions(long trait) {
+        Set<Long> crashes = mSuspicions.get(trait).open().keySet();
+        return mSuspicions.values().stream()
+                .filter(s -> s.open().keySet().equals(crashes))
+                .map(CrashSuspicion::trait)
+                .toList();
     }
 
     /**
-     * Returns whether requests with a trait are blocked.
+     * Returns whether requests with a trait, and with those that were suspect in the same crashes,
+     * are blocked.
      *
      * @param trait the hash of the trait
      * @param now the monotonic time in nanoseconds
-     * @return true if they would probably crash the server
+     * @return true if such requests would probably crash the server
      */
     public boolean isBlocked(long trait, long now) {
         CrashSuspicion s = mSuspicions.get(trait);
