Tests: choose ports of nodes below those that the operating system gives to others

Seen once: PromptPartCrashTest ended with 'Address already in use' as a node opened its port. Cause: the ports of nodes were free when they were chosen, but 32 stand-ins then took ports that the operating system chose for them. Ports of nodes now lie below that range.

--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,6 +5,7 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -18,6 +19,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -27,7 +29,13 @@
 
 /** A key-value store, servers and entry nodes on loopback addresses. */
 public final class TestCluster implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
+
+    /** Ports below those that the operating system chooses for others. */
+    private static final int MIN_PORT = 12_000;
+
+    private static final int MAX_PORT = 30_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -49,11 +57,17 @@
     private final int mReadinessPort = freePort();
     private final int mExchangePort = freePort();
 
+    /** Returns a free port that the operating system gives to no other socket by itself. */
     private static int freePort() {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket s = new ServerSocket(port)) {
+                return s.getLocalPort();
+            } catch (BindException e) {
+                LOG.log(System.Logger.Level.DEBUG, "port {0} is in use", port);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         }
     }
 
