Block a request that crashes servers and comes again, also at plain services

Found while looking elsewhere for the cause of the crashing prompt parts: a request without a prompt has no traits, so one that crashes each server of a plain service was sent again at each node. The whole request (host, path, parts of its prompt, body) is a trait now. CrashingRequestTest failed before: 16 and 13 requests reached servers later than the settling time after the third crash, where three are allowed.

Traits are computed only while there is evidence of crashes.

--- a/core/src/main/java/org/fescuehollow/hashing/Rendezvous.java
+++ b/core/src/main/java/org/fescuehollow/hashing/Rendezvous.java
@@ -25,6 +25,16 @@
         return Hashing.komihash5_0().hashCharsToLong(name);
     }
 
+    /**
+     * Returns the 64-bit hash of bytes.
+     *
+     * @param bytes the bytes
+     * @return a hash that is the same in every process
+     */
+    public static long hash(byte[] bytes) {
+        return Hashing.komihash5_0().hashBytesToLong(bytes);
+    }
+
     /**
      * Returns the weight of a pair of a key and a node.
      *
--- a/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -18,8 +18,8 @@
  * and blocks requests with that trait.
  *
  * <p>Load pattern: requests that are all different share a trait that crashes each server that
- * begins to answer one. They arrive at any node, among sound requests that share their other traits
- * and that lose their answers in the same crashes.
+ * begins to answer one, or one such request comes again and again. They arrive at any node, among
+ * sound requests that share their other traits and that lose their answers in the same crashes.
  *
  * <p>A crash casts suspicion on the traits of all requests that it ended before their responses
  * began. A trait is cleared by the next response to a request with it, on any node, and all traits
@@ -160,6 +160,15 @@
         return Optional.ofNullable(mSuspicions.get(trait));
     }
 
+    /**
+     * Returns whether there is no evidence, so that no request is blocked or can clear a trait.
+     *
+     * @return true if the traits of requests don't matter now
+     */
+    public boolean isEmpty() {
+        return mSuspicions.isEmpty();
+    }
+
     /**
      * Finds a blocked trait among those of a request.
      *
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CrashGuard.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CrashGuard.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.gateway.exchange.SuspicionExchange;
 import org.fescuehollow.gateway.node.NodeContext;
@@ -24,8 +25,10 @@
     }
 
     /** Returns a trait for which requests are blocked, if any of the given ones is. */
-    Optional<Long> findBlocked(Set<Long> traits) {
-        return mTraits.findBlocked(traits, mNode.clock().now());
+    Optional<Long> findBlocked(Supplier<Set<Long>> traits) {
+        return mTraits.isEmpty()
+                ? Optional.empty()
+                : mTraits.findBlocked(traits.get(), mNode.clock().now());
     }
 
     /**
@@ -40,8 +43,11 @@
     }
 
     /** Records that an engine has begun to answer a request. */
-    void onAnswered(Engine engine, Set<Long> traits, long sentNanos) {
-        long crash = CrashTraits.crashOf(engine);
-        mExchange.onFound(mTraits.onAnswered(traits, crash, sentNanos, mNode.clock().now()));
+    void onAnswered(Engine engine, Supplier<Set<Long>> traits, long sentNanos) {
+        if (!mTraits.isEmpty()) {
+            long crash = CrashTraits.crashOf(engine);
+            long now = mNode.clock().now();
+            mExchange.onFound(mTraits.onAnswered(traits.get(), crash, sentNanos, now));
+        }
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/DispatchRequests.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/DispatchRequests.java
@@ -1,12 +1,16 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
 import org.fescuehollow.platform.RequestHead;
+import org.fescuehollow.suspects.RequestTraits;
 
-/** Creates dispatch requests from the heads of clients' requests. Stateless. */
+/** Derives from clients' requests what decisions depend on. Stateless. */
 final class DispatchRequests {
     private DispatchRequests() {}
 
@@ -28,4 +32,9 @@
                 now + Duration.ofMillis(millis).toNanos(),
                 false);
     }
+
+    static Set<Long> traits(HttpServerRequest client, DispatchRequest request, Buffer body) {
+        String target = client.getHeader("Host") + client.uri();
+        return RequestTraits.of(target, request.promptSegments(), body.getBytes());
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -13,7 +13,6 @@
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.residency.AdapterDemand;
-import org.fescuehollow.suspects.RequestTraits;
 
 /**
  * One client request, from its arrival to the end of its response.
@@ -33,7 +32,7 @@
     private final RequestHead mHead;
     private final RequestLog mLog;
     private DispatchRequest mDispatchRequest;
-    private final Set<Long> mTraits;
+    private Set<Long> mTraits = Set.of();
     private final ClientResponse mResponse;
     private final SseEventSplitter mEventSplitter = new SseEventSplitter();
     private final Set<String> mExcludedEngines = new HashSet<>();
@@ -59,7 +58,6 @@
         mRoute = route;
         mHead = head;
         mDispatchRequest = dispatchRequest;
-        mTraits = RequestTraits.of(dispatchRequest.promptSegments());
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
     }
@@ -153,8 +151,16 @@
         return false;
     }
 
+    /** Returns the traits, which are computed only once they matter. */
+    private Set<Long> traits() {
+        if (mTraits.isEmpty()) {
+            mTraits = DispatchRequests.traits(mClientRequest, mDispatchRequest, mBody);
+        }
+        return mTraits;
+    }
+
     private boolean isBlocked() {
-        return mContext.crashGuard().findBlocked(mTraits).isPresent();
+        return mContext.crashGuard().findBlocked(this::traits).isPresent();
     }
 
     /** Abandons the request if it waits at an engine that it would crash. */
@@ -199,12 +205,12 @@
 
     /** Records that an engine has begun to answer a request that was sent to it at a time. */
     void onAnswered(Engine engine, long sentNanos) {
-        mContext.crashGuard().onAnswered(engine, mTraits, sentNanos);
+        mContext.crashGuard().onAnswered(engine, this::traits, sentNanos);
     }
 
     /** Records that an engine closed the connection without beginning to answer. */
     void onBroken(Engine engine) {
-        mContext.crashGuard().onBroken(engine, mTraits);
+        mContext.crashGuard().onBroken(engine, traits());
     }
 
     /** Records that an attempt sends the request to an engine, which may run it from now on. */
