--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -202,7 +202,12 @@
                         && !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
         if (otherRequest) {
             onFailure(new IllegalStateException("response belongs to another request"));
-        } else if (head.notExecuted()) {
+            return;
+        }
+        if (!head.isMisdirected()) {
+            mContext.onResponseOf(mEngine, head.requestsPerSecond());
+        }
+        if (head.notExecuted()) {
             onRefused(head);
         } else if (isUnverified(head)) {
             onFailure(new IllegalStateException("response without a valid seal of its server"));
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.dispatch.EngineInactivityDetector;
@@ -41,6 +43,7 @@
     private final EngineInactivityDetector mInactivityDetector;
     private final Map<EngineInactivityDetector.Stream, Attempt> mStreams = new HashMap<>();
     private final CoalescedTask mDispatch;
+    private final Map<String, OptionalDouble> mRates = new HashMap<>();
     private int mOpenRequests;
     private boolean mDraining;
     private boolean mClosed;
@@ -162,6 +165,22 @@
                 .forEach(Attempt::onSilence);
     }
 
+    /** Records the rate of requests that an engine names in a response, if any. */
+    void onResponseOf(Engine engine, OptionalDouble perSecond) {
+        OptionalDouble before = mRates.getOrDefault(engine.id(), OptionalDouble.empty());
+        if (!perSecond.equals(before)) {
+            mRates.put(engine.id(), perSecond);
+            mNode.metrics().countEvent("engine_rate");
+            mNode.log()
+                    .event(
+                            "engine_rate",
+                            "engine",
+                            engine.id(),
+                            "per_second",
+                            perSecond.isPresent() ? perSecond.getAsDouble() : "");
+        }
+    }
+
     /** Tries to place all waiting requests soon, in queue order. */
     void dispatchWaiting() {
         if (mWaitQueue.size() > 0) {
