Share the rate that an engine names among the nodes that rank first for it

Fix: the nodes that rank first for an engine by a rendezvous hash share its rate, the others send it nothing; only so many take part that what they can save up stays within the bound. Nodes tell each other when a rate comes into force or is lifted. Ruled out: an equal part for each node, as 95 nodes could send 95 saved requests at once.

--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -27,8 +27,8 @@
  * can prefill within the latency objective. The rest waits on this node, where it can still be
  * reordered or rejected instead of delaying all requests on the engine.
  *
- * <p>Invariants: an engine that is draining, in backoff or without the adapter is never chosen. Not
- * safe for concurrent use.
+ * <p>Invariants: an engine that is draining, in backoff or without the adapter is never chosen, nor
+ * is one that takes no more requests of this node now. Not safe for concurrent use.
  */
 public final class Dispatcher {
     /** An engine is overloaded when it runs this many times the mean number of requests. */
@@ -49,6 +49,7 @@
     private Map<String, List<EngineLoad>> mActiveByService = Map.of();
     private final LoadTargetSelector mLoadTargets;
     private final ReplicationDemand mReplicationDemand = new ReplicationDemand();
+    private final EngineRates mRates = new EngineRates();
     private final Map<String, PrefillThroughput> mPrefillThroughputs = new HashMap<>();
     private Function<String, Optional<EngineSpec>> mSpecs = s -> Optional.empty();
 
@@ -76,6 +77,7 @@
         Set<String> ids = engines.stream().map(Engine::id).collect(Collectors.toSet());
         mEngineLoads.keySet().retainAll(ids);
         mResidency.retainEngines(ids);
+        mRates.retain(engines);
         engines.forEach(
                 e -> mEngineLoads.computeIfAbsent(e.id(), id -> new EngineLoad(e)).update(e));
         mActiveByService =
@@ -93,6 +95,15 @@
         mReplicationDemand.setNodeCount(count);
     }
 
+    /**
+     * Returns the rates of requests that engines take.
+     *
+     * @return the rates
+     */
+    public EngineRates rates() {
+        return mRates;
+    }
+
     /**
      * Records the arrival of a request at this node; called once per request.
      *
@@ -116,7 +127,7 @@
     public Placement place(DispatchRequest request, Set<String> avoided, long now) {
         List<EngineLoad> usable = usableEngines(request.service(), avoided, now);
         if (usable.isEmpty()) {
-            return new Placement.Wait(Placement.Reason.NO_SERVER, Optional.empty());
+            return new Placement.Wait(reasonForNoServer(request.service(), now), Optional.empty());
         }
         EngineFit fit =
                 new EngineFit(
@@ -172,16 +183,28 @@
     }
 
     private List<EngineLoad> usableEngines(String service, Set<String> avoided, long now) {
-        List<EngineLoad> reachable =
-                mActiveByService.getOrDefault(service, List.of()).stream()
-                        .filter(load -> !load.health().isInBackoff(now))
+        List<EngineLoad> available =
+                reachableEngines(service, now).stream()
+                        .filter(load -> mRates.maySend(load.engine(), now))
                         .toList();
-        List<EngineLoad> healthy = excludeFailing(reachable, now);
+        List<EngineLoad> healthy = excludeFailing(available, now);
         List<EngineLoad> preferred =
                 healthy.stream().filter(load -> !avoided.contains(load.engine().id())).toList();
         return preferred.isEmpty() ? healthy : preferred;
     }
 
+    private List<EngineLoad> reachableEngines(String service, long now) {
+        return mActiveByService.getOrDefault(service, List.of()).stream()
+                .filter(load -> !load.health().isInBackoff(now))
+                .toList();
+    }
+
+    private Placement.Reason reasonForNoServer(String service, long now) {
+        return reachableEngines(service, now).isEmpty()
+                ? Placement.Reason.NO_SERVER
+                : Placement.Reason.ENGINES_LIMITED;
+    }
+
     /** Excludes failing servers unless at least half of them fail, which suggests another cause. */
     private static List<EngineLoad> excludeFailing(List<EngineLoad> engines, long now) {
         List<EngineLoad> healthy =
@@ -222,6 +245,7 @@
      * @param now the monotonic time in nanoseconds
      */
     public void onSent(String engine, DispatchRequest request, long now) {
+        mRates.onSent(engine);
         long capacity = engineSpec(request.service()).kvCacheTokens();
         findLoad(engine).ifPresent(load -> load.onSent(request, capacity, now));
     }
--- a/core/src/main/java/org/fescuehollow/dispatch/Placement.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Placement.java
@@ -29,6 +29,8 @@
     enum Reason {
         /** No server of the service is known or available. */
         NO_SERVER,
+        /** All available engines take no more requests of this node now. */
+        ENGINES_LIMITED,
         /** No available engine has the adapter loaded. */
         ADAPTER_ABSENT,
         /** All engines that have the adapter are at capacity. */
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/dispatch/RateWord.java
@@ -0,0 +1,68 @@
+package org.fescuehollow.dispatch;
+
+/**
+ * What one incarnation of an engine last said of the rate of requests that it takes.
+ *
+ * <p>Invariant: taking the latest of several words yields the same in any order. Immutable and safe
+ * for use by any thread. Times are monotonic, in nanoseconds.
+ *
+ * @param perSecond the rate that it last named, in requests per second
+ * @param namedNanos when a response last named a rate
+ * @param clearedNanos when a response last named none
+ */
+public record RateWord(double perSecond, long namedNanos, long clearedNanos) {
+    /** Earlier than any response, yet far from an overflow of differences. */
+    private static final long NEVER = Long.MIN_VALUE / 4;
+
+    /** No word yet. */
+    public static final RateWord NONE = new RateWord(0, NEVER, NEVER);
+
+    /**
+     * Returns the word of a response that names a rate.
+     *
+     * @param perSecond the rate in requests per second
+     * @param now the monotonic time in nanoseconds
+     * @return the word
+     */
+    public static RateWord named(double perSecond, long now) {
+        return new RateWord(perSecond, now, NEVER);
+    }
+
+    /**
+     * Returns this word after a response that names no rate.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return the word
+     */
+    public RateWord cleared(long now) {
+        return new RateWord(perSecond, namedNanos, now);
+    }
+
+    /**
+     * Returns whether the engine has ever named a rate.
+     *
+     * @return false if there is nothing to tell other nodes
+     */
+    public boolean isNamed() {
+        return namedNanos != NEVER;
+    }
+
+    /**
+     * Returns whether the engine has named no rate since its first response.
+     *
+     * @return true if a response without a rate came after the last one with it
+     */
+    public boolean isCleared() {
+        return clearedNanos != NEVER;
+    }
+
+    long lastNanos() {
+        return Math.max(namedNanos, clearedNanos);
+    }
+
+    RateWord latest(RateWord other) {
+        RateWord named = other.namedNanos > namedNanos ? other : this;
+        return new RateWord(
+                named.perSecond, named.namedNanos, Math.max(clearedNanos, other.clearedNanos));
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -268,6 +268,8 @@
                 mContext.openRequests(),
                 "waiting",
                 mContext.waitQueue().size(),
+                "engineRates",
+                mDispatcher.rates().inForce(),
                 "blockedTraits",
                 mCrashTraits.blocked(mContext.now()).stream().map(Long::toHexString).toList());
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -43,7 +43,6 @@
     private final EngineInactivityDetector mInactivityDetector;
     private final Map<EngineInactivityDetector.Stream, Attempt> mStreams = new HashMap<>();
     private final CoalescedTask mDispatch;
-    private final Map<String, OptionalDouble> mRates = new HashMap<>();
     private int mOpenRequests;
     private boolean mDraining;
     private boolean mClosed;
@@ -167,18 +166,7 @@
 
     /** Records the rate of requests that an engine names in a response, if any. */
     void onResponseOf(Engine engine, OptionalDouble perSecond) {
-        OptionalDouble before = mRates.getOrDefault(engine.id(), OptionalDouble.empty());
-        if (!perSecond.equals(before)) {
-            mRates.put(engine.id(), perSecond);
-            mNode.metrics().countEvent("engine_rate");
-            mNode.log()
-                    .event(
-                            "engine_rate",
-                            "engine",
-                            engine.id(),
-                            "per_second",
-                            perSecond.isPresent() ? perSecond.getAsDouble() : "");
-        }
+        mExchange.rates().onResponse(engine, perSecond);
     }
 
     /** Tries to place all waiting requests soon, in queue order. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.dispatch.Dispatcher;
@@ -30,7 +31,6 @@
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
 import org.fescuehollow.wire.ExchangeProto.PeerSeen;
-import org.fescuehollow.wire.ExchangeProto.TraitSuspicion;
 
 /**
  * Exchanges state messages with the other entry nodes.
@@ -43,35 +43,22 @@
     /** The name of this service in the kernel. */
     public static final String NAME = "exchange";
 
-    /** Nodes mentioned besides the receiver; a new node hears from all nodes in a round. */
-    private static final int MENTIONED_NODES = 3;
-
-    /**
-     * Nodes mentioned by a starting node, as others that start with it know few. The message still
-     * fits into one packet.
-     */
-    private static final int MENTIONED_NODES_AT_START = 16;
-
-    /** Nodes silent for longer aren't mentioned, so that all nodes forget one that is gone. */
-    private static final long MAX_MENTION_AGE_MILLIS = 30_000;
-
     /** Largest UDP payload over IPv4; datagrams beyond the receive buffer are truncated. */
     private static final int MAX_DATAGRAM_BYTES = 65_507;
 
     /** Changes of the work within this time are sent as one message. */
     private static final long WORK_INTERVAL_MILLIS = 20;
 
-    /** Time after its start in which a node mentions more nodes. */
-    private static final long STARTUP_NANOS = Duration.ofSeconds(4).toNanos();
-
     private final NodeContext mContext;
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final PeerTable mPeers;
     private final GossipSchedule mSchedule;
     private final SuspicionExchange mSuspicions;
+    private final RateExchange mRates;
     private final long mIncarnation = System.currentTimeMillis();
     private final LivePeers mLivePeers;
+    private final PeerMentions mPeerMentions;
     private final Set<String> mChangedWork = new LinkedHashSet<>();
     private List<String> mSeeds;
     private DatagramSocket mSocket;
@@ -82,7 +69,6 @@
     private long mSequence;
     private boolean mLeaving;
     private long mTimer;
-    private long mStartedNanos;
 
     /**
      * Creates the service.
@@ -105,7 +91,9 @@
         mLivePeers = new LivePeers(context, mPeers);
         mSeeds = s.seeds();
         mSchedule = new GossipSchedule(s.node());
-        mSuspicions = new SuspicionExchange(context, crashTraits, this::sendSuspicions);
+        mPeerMentions = new PeerMentions(mPeers, mSchedule);
+        mSuspicions = new SuspicionExchange(context, crashTraits, this::sendChange);
+        mRates = new RateExchange(context, dispatcher.rates(), this::sendChange);
     }
 
     @Override
@@ -119,10 +107,17 @@
         mCatalog = kernel.find(CatalogService.NAME, CatalogService.class);
         mMessageHandler =
                 new StateMessageHandler(
-                        mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders, mSuspicions);
+                        mContext,
+                        mPeers,
+                        mDispatcher,
+                        mResidency,
+                        mCatalog,
+                        mOrders,
+                        mSuspicions,
+                        mRates);
         mWorkEncoder = new WorkEncoder(mDispatcher, mResidency, mCatalog, mPeers);
         mCatalog.onEngineLeaving(this::sendEngineLeaving);
-        mStartedNanos = mContext.clock().now();
+        mPeerMentions.onStart(mContext.clock().now());
         mSocket = mContext.vertx().createDatagramSocket(socketOptions());
         mSocket.handler(p -> onDatagram(p.data()));
         mSocket.listen(mContext.settings().exchangePort(), mContext.settings().ip())
@@ -175,6 +170,11 @@
         mPeers.setLivenessTimeout(ttl);
         mResidency.setUpdateTtl(ttl);
         mDispatcher.setNodeCount(mPeers.size());
+        mDispatcher
+                .rates()
+                .setNodes(
+                        mContext.settings().node(),
+                        peers.stream().map(Peer::name).collect(Collectors.toSet()));
         mLivePeers.update(now);
         StateMessages messages = new StateMessages(now);
         List<Peer> recipients = mLeaving ? peers : mSchedule.recipients(peers, sharedClaimants());
@@ -214,7 +214,7 @@
         private final List<EngineWork> mWork;
         private final List<EngineHolding> mHoldings;
         private final Map<String, PeerSeen> mMentioned;
-        private final List<TraitSuspicion> mOpenSuspicions;
+        private final NodeNews mChanges;
 
         StateMessages(long now) {
             mNow = now;
@@ -223,19 +223,17 @@
                     mOrders.holdings().entrySet().stream()
                             .map(e -> encodeHolding(e.getKey(), e.getValue(), now))
                             .toList();
-            mOpenSuspicions = mSuspicions.fullState(now);
-            mMentioned =
-                    nodesToMention(now).stream()
-                            .collect(Collectors.toMap(Peer::name, p -> encodePeer(p, now)));
+            NodeNews.Builder changes = NodeNews.newBuilder();
+            mSuspicions.addTo(changes, now);
+            mRates.addTo(changes, now);
+            mChanges = changes.build();
+            mMentioned = mPeerMentions.choose(now);
         }
 
         byte[] fullState(Optional<Peer> to) {
             NodeNews.Builder message =
-                    messageBuilder()
-                            .setWhole(true)
-                            .addAllHoldings(mHoldings)
-                            .addAllSuspicions(mOpenSuspicions);
-            to.ifPresent(p -> message.addPeers(encodePeer(p, mNow)));
+                    messageBuilder().setWhole(true).addAllHoldings(mHoldings).mergeFrom(mChanges);
+            to.ifPresent(p -> message.addPeers(mPeerMentions.encode(p, mNow)));
             mMentioned.forEach(
                     (name, seen) -> {
                         if (to.filter(p -> p.name().equals(name)).isEmpty()) {
@@ -247,19 +245,6 @@
         }
     }
 
-    /** Returns a few of the nodes heard from recently. */
-    private List<Peer> nodesToMention(long now) {
-        boolean starting = now - mStartedNanos < STARTUP_NANOS;
-        List<Peer> heard =
-                mPeers.peers().stream()
-                        .filter(
-                                p ->
-                                        mPeers.heardMillisAgo(p.name(), now).orElse(Long.MAX_VALUE)
-                                                < MAX_MENTION_AGE_MILLIS)
-                        .toList();
-        return mSchedule.mentions(heard, starting ? MENTIONED_NODES_AT_START : MENTIONED_NODES);
-    }
-
     private EngineHolding encodeHolding(String engine, Holding holding, long now) {
         return StateMessageCodec.holding(engine, holding, mDispatcher.totalWork(engine, now));
     }
@@ -276,10 +261,6 @@
                 .setLeaving(mLeaving);
     }
 
-    private PeerSeen encodePeer(Peer p, long now) {
-        return StateMessageCodec.seen(p, mPeers.heardMillisAgo(p.name(), now));
-    }
-
     private void send(byte[] message, String ip) {
         mSocket.send(Buffer.buffer(message), mContext.settings().exchangePort(), ip)
                 .onFailure(e -> mContext.metrics().countEvent("datagram_not_sent"));
@@ -310,15 +291,27 @@
      */
     public void sendHolding(String engine, Holding holding) {
         long now = mContext.clock().now();
-        sendToLive(messageBuilder().addHoldings(encodeHolding(engine, holding, now)).build());
+        sendChange(m -> m.addHoldings(encodeHolding(engine, holding, now)));
     }
 
     private void sendEngineLeaving(Engine engine) {
-        sendToLive(messageBuilder().addLeavingEngines(StateMessageCodec.leaving(engine)).build());
+        sendChange(m -> m.addLeavingEngines(StateMessageCodec.leaving(engine)));
     }
 
-    private void sendSuspicions(List<TraitSuspicion> suspicions) {
-        sendToLive(messageBuilder().addAllSuspicions(suspicions).build());
+    private void sendChange(Consumer<NodeNews.Builder> content) {
+        NodeNews.Builder message = messageBuilder();
+        content.accept(message);
+        byte[] bytes = message.build().toByteArray();
+        mLivePeers.peers().forEach(p -> send(bytes, p.ip()));
+    }
+
+    /**
+     * Returns the exchange of the rates of requests that engines take.
+     *
+     * @return the exchange
+     */
+    public RateExchange rates() {
+        return mRates;
     }
 
     /**
@@ -330,11 +323,6 @@
         return mSuspicions;
     }
 
-    private void sendToLive(NodeNews message) {
-        byte[] bytes = message.toByteArray();
-        mLivePeers.peers().forEach(p -> send(bytes, p.ip()));
-    }
-
     /**
      * Sends this node's work on an engine soon, to its holder and in a small fleet to all live
      * nodes. One message carries all changes since the last one.
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -34,6 +34,7 @@
     private final CatalogService mCatalog;
     private final OrderService mOrders;
     private final SuspicionExchange mSuspicions;
+    private final RateExchange mRates;
     private final Map<String, Set<String>> mEnginesByHolder = new HashMap<>();
 
     StateMessageHandler(
@@ -43,7 +44,8 @@
             ResidencyTable residency,
             CatalogService catalog,
             OrderService orders,
-            SuspicionExchange suspicions) {
+            SuspicionExchange suspicions,
+            RateExchange rates) {
         mContext = context;
         mPeers = peers;
         mDispatcher = dispatcher;
@@ -51,6 +53,7 @@
         mCatalog = catalog;
         mOrders = orders;
         mSuspicions = suspicions;
+        mRates = rates;
     }
 
     /**
@@ -105,6 +108,7 @@
                         .map(s -> StateMessageCodec.suspicion(s, now))
                         .toList();
         mSuspicions.onReceived(suspicions);
+        mRates.onReceived(message.getRatesList(), mCatalog);
         message.getWantsList()
                 .forEach(
                         w ->
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/SuspicionExchange.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/SuspicionExchange.java
@@ -10,6 +10,7 @@
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.suspects.CrashSuspicion;
 import org.fescuehollow.suspects.CrashTraits;
+import org.fescuehollow.wire.ExchangeProto.NodeNews;
 import org.fescuehollow.wire.ExchangeProto.TraitSuspicion;
 
 /**
@@ -29,7 +30,7 @@
 
     private final NodeContext mContext;
     private final CrashTraits mTraits;
-    private final Consumer<List<TraitSuspicion>> mSender;
+    private final Consumer<Consumer<NodeNews.Builder>> mSender;
     private final Set<Long> mChanged = new LinkedHashSet<>();
     private final Set<Long> mBlocked = new LinkedHashSet<>();
     private Runnable mBlockedListener = () -> {};
@@ -39,10 +40,10 @@
      *
      * @param context the context of the node
      * @param traits the evidence, which other nodes' evidence is added to
-     * @param sender sends suspicions to all live nodes
+     * @param sender sends a message with the given content to all live nodes
      */
     SuspicionExchange(
-            NodeContext context, CrashTraits traits, Consumer<List<TraitSuspicion>> sender) {
+            NodeContext context, CrashTraits traits, Consumer<Consumer<NodeNews.Builder>> sender) {
         mContext = context;
         mTraits = traits;
         mSender = sender;
@@ -57,11 +58,10 @@
         mBlockedListener = listener;
     }
 
-    /** Returns the suspicions for a full state message. */
-    List<TraitSuspicion> fullState(long now) {
-        return mTraits.openSuspicions(MAX_IN_FULL_STATE).stream()
-                .map(s -> StateMessageCodec.suspicion(s, now))
-                .toList();
+    /** Adds the suspicions to a full state message. */
+    void addTo(NodeNews.Builder message, long now) {
+        mTraits.openSuspicions(MAX_IN_FULL_STATE)
+                .forEach(s -> message.addSuspicions(StateMessageCodec.suspicion(s, now)));
     }
 
     /**
@@ -109,7 +109,7 @@
                         .map(s -> StateMessageCodec.suspicion(s, now))
                         .toList();
         mChanged.clear();
-        mSender.accept(suspicions);
+        mSender.accept(m -> m.addAllSuspicions(suspicions));
     }
 
     private void logBlocked(Collection<CrashSuspicion> changed) {
