Send nothing more to an engine that says in a response that it is leaving

What callers saw: requests went to an engine that had said in its responses that it was leaving, until this node read it from the store (DRAIN, also while the store is away).

The word of the engine itself needs no confirmation, unlike a report of another node, and holds for its incarnation, also if the store lists it as ready again. The other nodes are told at once, as for an engine read to be draining.

--- a/core/src/main/java/org/fescuehollow/catalog/EngineTable.java
+++ b/core/src/main/java/org/fescuehollow/catalog/EngineTable.java
@@ -20,9 +20,9 @@
  * moment. A store that returns from an older copy lists engines that are gone, and draining ones as
  * if they weren't.
  *
- * <p>Invariants: an engine that this node read to be draining never comes back into use in the same
- * incarnation; one that is gone comes back only if its entry was written again or outlasts its own
- * expiry. Not safe for concurrent use.
+ * <p>Invariants: an engine that this node read to be draining, or that said so itself, never comes
+ * back into use in the same incarnation; one that is gone comes back only if its entry was written
+ * again or outlasts its own expiry. Not safe for concurrent use.
  */
 public final class EngineTable {
     /** After the store returns, entries of running engines may be missing for up to this time. */
@@ -34,11 +34,15 @@
     /** Longer than the time by which a copy of the store can be behind. */
     private static final long REMEMBER_GONE_NANOS = Duration.ofSeconds(60).toNanos();
 
+    /** Engines that said that they are leaving; the one that said so longest ago is forgotten. */
+    private static final int MAX_SAID_LEAVING = 4_096;
+
     private final Listener mListener;
     private final Map<String, Engine> mEngines = new HashMap<>();
     private final Map<String, Long> mMissingSince = new HashMap<>();
     private final Map<String, Gone> mGone = new HashMap<>();
     private final Map<String, Held> mHeld = new HashMap<>();
+    private final Map<String, Long> mSaidLeaving = new BoundedMap<>(MAX_SAID_LEAVING);
     private final LeaveReports mLeaveReports = new LeaveReports();
 
     /** Receives the changes of the table. */
@@ -121,7 +125,8 @@
         Engine before = mEngines.get(read.id());
         boolean same = before != null && before.isSameIncarnation(read);
         boolean wasDraining = same && before.draining();
-        boolean staysDraining = wasDraining && !mLeaveReports.contains(read.id());
+        boolean staysDraining =
+                hasSaidLeaving(read) || wasDraining && !mLeaveReports.contains(read.id());
         Engine engine = staysDraining && !read.draining() ? read.asDraining() : read;
         mEngines.put(engine.id(), engine);
         mHeld.remove(engine.id());
@@ -194,6 +199,34 @@
         return true;
     }
 
+    /**
+     * Handles the word of an engine itself that it is leaving, in a response to this node. Unlike a
+     * report of another node, it needs no confirmation.
+     *
+     * @param said the engine as it was when the request was sent to it
+     * @return true if it was in use
+     */
+    public boolean onLeavingSaid(Engine said) {
+        mSaidLeaving.put(said.id(), said.startedMillis());
+        Engine engine = mEngines.get(said.id());
+        if (engine == null || !engine.isSameIncarnation(said)) {
+            return false;
+        }
+        mLeaveReports.onRead(said.id());
+        if (engine.draining()) {
+            return false;
+        }
+        Engine leaving = engine.asDraining();
+        mEngines.put(leaving.id(), leaving);
+        mListener.onEngine(leaving);
+        mListener.onLeaving(leaving);
+        return true;
+    }
+
+    private boolean hasSaidLeaving(Engine engine) {
+        return Long.valueOf(engine.startedMillis()).equals(mSaidLeaving.get(engine.id()));
+    }
+
     /**
      * Drops reports that this node should have read itself by now.
      *
--- a/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
@@ -185,4 +185,36 @@
                 .containsExactly(
                         "engine e1 false", "engine e1 true", "leaving e1", "gone e1 removed");
     }
+
+    @Test
+    void engine_thatSaysItIsLeavingStaysOutOfUse() {
+        mTable.onEntry(ENGINE, false, 0);
+        then(mTable.onLeavingSaid(ENGINE)).isTrue();
+        then(isUsable("e1")).isFalse();
+        then(mEvents).containsExactly("engine e1 false", "engine e1 true", "leaving e1");
+        mTable.onEntry(ENGINE, false, SECOND_NANOS);
+        then(isUsable("e1")).isFalse();
+        mTable.onRemoved("e1", true, 2 * SECOND_NANOS);
+        mTable.onEntry(ENGINE, false, 3 * SECOND_NANOS);
+        then(isUsable("e1")).isFalse();
+    }
+
+    @Test
+    void engine_thatSaysItIsLeavingNeedsNoConfirmationOfReports() {
+        mTable.onEntry(ENGINE, false, 0);
+        mTable.onLeavingReported("e1", 1, 0);
+        mTable.onLeavingSaid(ENGINE);
+        then(mTable.dropRefutedReports(Duration.ZERO, 5 * SECOND_NANOS)).isEmpty();
+        then(isUsable("e1")).isFalse();
+    }
+
+    @Test
+    void engine_thatSaidItIsLeavingIsUsedAfterItsRestart() {
+        mTable.onEntry(ENGINE, false, 0);
+        mTable.onLeavingSaid(ENGINE);
+        mTable.onEntry(engine("e1", 2), false, SECOND_NANOS);
+        then(isUsable("e1")).isTrue();
+        then(mTable.onLeavingSaid(ENGINE)).isFalse();
+        then(isUsable("e1")).isTrue();
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -205,7 +205,7 @@
             return;
         }
         if (!head.isMisdirected()) {
-            mContext.onResponseOf(mEngine, head.requestsPerSecond());
+            mContext.onResponseOf(mEngine, head);
         }
         if (head.notExecuted()) {
             onRefused(head);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
@@ -19,6 +18,7 @@
 import org.fescuehollow.gateway.node.NodeSettings;
 import org.fescuehollow.gateway.orders.OrderService;
 import org.fescuehollow.gateway.store.CatalogService;
+import org.fescuehollow.platform.ResponseHead;
 import org.fescuehollow.residency.ResidencyTable;
 
 /** The state that all requests of a node share. Not thread-safe; used on the node's event loop. */
@@ -164,9 +164,12 @@
                 .forEach(Attempt::onSilence);
     }
 
-    /** Records the rate of requests that an engine names in a response, if any. */
-    void onResponseOf(Engine engine, OptionalDouble perSecond) {
-        mExchange.rates().onResponse(engine, perSecond);
+    /** Records what an engine says of itself in a response. */
+    void onResponseOf(Engine engine, ResponseHead head) {
+        mExchange.rates().onResponse(engine, head.requestsPerSecond());
+        if (head.leaving()) {
+            mCatalog.onEngineSaidLeaving(engine);
+        }
     }
 
     /** Tries to place all waiting requests soon, in queue order. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -276,6 +276,19 @@
         mChangeListener.run();
     }
 
+    /**
+     * Handles the word of an engine itself that it is leaving.
+     *
+     * @param engine the engine that responded
+     */
+    public void onEngineSaidLeaving(Engine engine) {
+        if (mEngines.onLeavingSaid(engine)) {
+            mContext.metrics().countEvent("engine_said_leaving");
+            mContext.log().event("engine_said_leaving", "id", engine.id());
+            mChangeListener.run();
+        }
+    }
+
     private void dropRefutedReports() {
         long now = mContext.clock().now();
         if (!mServerWatch.isReachableFor(now, engineReadTime())) {
