Give an engine the pause that it asks for when it turns a request away

The pause is kept beside the backoff, as responses to requests that the engine took earlier must not end it; a restart of the engine does.

--- a/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineHealth.java
@@ -7,7 +7,8 @@
  *
  * <p>Load pattern: servers crash, are cut off, or fail some requests while their own health report
  * is good. An unreachable server gets no requests during a backoff that doubles each time; a server
- * that fails requests gets a lower preference.
+ * that fails requests gets a lower preference; one that is overloaded names a time in which it
+ * wants no requests.
  *
  * <p>Not safe for concurrent use.
  */
@@ -22,6 +23,7 @@
     private static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
 
     private long mBackoffEndNanos;
+    private long mPauseEndNanos = Long.MIN_VALUE;
     private long mBackoffNanos;
     private double mDecayedFailures;
     private double mDecayedRequests;
@@ -62,6 +64,22 @@
         mBackoffEndNanos = now + mBackoffNanos;
     }
 
+    /**
+     * Records that the server wants no requests of this node for some time. Responses to requests
+     * that it accepted before don't shorten that time.
+     *
+     * @param time the time
+     * @param now the monotonic time in nanoseconds
+     */
+    public void onPauseWanted(Duration time, long now) {
+        mPauseEndNanos = now + time.toNanos();
+    }
+
+    /** Records that the server has restarted, which ends a time that it asked for before. */
+    void onRestart() {
+        mPauseEndNanos = Long.MIN_VALUE;
+    }
+
     private void decay(long now) {
         double factor = Math.pow(0.5, (now - mLastDecayNanos) / HALF_LIFE_NANOS);
         mDecayedFailures *= factor;
@@ -70,13 +88,13 @@
     }
 
     /**
-     * Returns whether the server is in backoff after it was unreachable.
+     * Returns whether the server is in backoff after it was unreachable, or wants no requests now.
      *
      * @param now the monotonic time in nanoseconds
      * @return true if no requests should be sent to it
      */
     public boolean isInBackoff(long now) {
-        return now < mBackoffEndNanos;
+        return now < mBackoffEndNanos || now < mPauseEndNanos;
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineLoad.java
@@ -90,6 +90,7 @@
     void update(Engine engine) {
         if (!engine.isSameIncarnation(mEngine)) {
             mPrefixCache.clear();
+            mHealth.onRestart();
         }
         mEngine = engine;
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -167,11 +167,18 @@
     /** Records what an engine says of itself in a response. */
     void onResponseOf(Engine engine, ResponseHead head) {
         mExchange.rates().onResponse(engine, head.requestsPerSecond());
+        head.retryAfter().ifPresent(t -> pause(engine, t));
         if (head.leaving()) {
             mCatalog.onEngineSaidLeaving(engine);
         }
     }
 
+    private void pause(Engine engine, Duration time) {
+        mDispatcher.health(engine.id()).ifPresent(h -> h.onPauseWanted(time, now()));
+        mNode.metrics().countEvent("engine_pause");
+        mNode.log().event("engine_pause", "engine", engine.id(), "ms", time.toMillis());
+    }
+
     /** Tries to place all waiting requests soon, in queue order. */
     void dispatchWaiting() {
         if (mWaitQueue.size() > 0) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/EngineWordsTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/EngineWordsTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.BDDAssertions.then;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import org.fescuehollow.gateway.testsupport.EngineStandIn;
 import org.fescuehollow.gateway.testsupport.TestCluster;
 import org.junit.jupiter.api.AfterEach;
@@ -46,4 +50,21 @@
         then(requestsAtFirst(12)).isEqualTo(1);
         then(requestsAtFirst(12)).isZero();
     }
+
+    @Test
+    void engine_thatWantsNoRequestsForATimeGetsNone() {
+        List<Long> nanos = Collections.synchronizedList(new ArrayList<>());
+        mFirst.onRequest(
+                (received, request) -> {
+                    nanos.add(System.nanoTime());
+                    if (nanos.size() == 1) {
+                        request.response().putHeader("Retry-After", "2");
+                        mFirst.refuse(received, request);
+                    } else {
+                        mFirst.answerOk(received, request);
+                    }
+                });
+        TestCluster.await(() -> requestsAtFirst(4) > 0 && nanos.size() > 1);
+        then(Duration.ofNanos(nanos.get(1) - nanos.get(0))).isGreaterThan(Duration.ofSeconds(2));
+    }
 }
