Block a trait that crashes servers in quick succession before most are down

Cause: crashes counted only if the first and the last were a second apart, so that servers that fail together prove nothing. They are seen by different nodes within much less, and the earliest time counts. 400 ms now.

CrashTraitsTest.trait_thatCrashesServersInQuickSuccession... failed before: 9 crashes at 7 a second before the trait was blocked, where 5 are allowed.

--- a/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -43,7 +43,7 @@
     public static final Duration RETENTION = Duration.ofMinutes(10);
 
     /** The shortest time between the first and the last crash; many servers may fail together. */
-    private static final Duration MIN_SPAN = Duration.ofSeconds(1);
+    private static final Duration MIN_SPAN = Duration.ofMillis(400);
 
     /** Shorter than a restart, so that a response within this time comes from the same process. */
     private static final Duration MIN_RESTART = Duration.ofMillis(1_500);
--- a/core/src/test/java/org/fescuehollow/suspects/CrashTraitsTest.java
+++ b/core/src/test/java/org/fescuehollow/suspects/CrashTraitsTest.java
@@ -93,6 +93,17 @@
         then(mTraits.blocked(SECOND_NANOS)).isEmpty();
     }
 
+    @Test
+    void trait_thatCrashesServersInQuickSuccessionIsBlockedBeforeMostAreDown() {
+        long interval = SECOND_NANOS / 7;
+        int crashes = 0;
+        while (findBlocked(crashes * interval, CRASHING).isEmpty()) {
+            crash(crashes, crashes * interval, CRASHING);
+            crashes++;
+        }
+        then(crashes).isLessThanOrEqualTo(5);
+    }
+
     @Test
     void server_thatOnlyResetsConnectionsCountsOnce() {
         for (int i = 1; i <= 20; i++) {
