Pass on only those rates of engines that a node was told itself

What would have been seen: a limit that the engine no longer names stays in force. Nodes passed on what others had told them, and each hop made it look as new as its delay, so that with 100 ms between nodes the last naming never aged; found while reading the change again.

A node tells only what responses to itself said.

--- a/core/src/main/java/org/fescuehollow/dispatch/EngineRates.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/EngineRates.java
@@ -120,21 +120,21 @@
     }
 
     /**
-     * Returns what engines said lately, whoever was told.
+     * Returns what engines said lately to this node.
      *
      * @param now the monotonic time in nanoseconds
-     * @return a word for each engine that has named a rate
+     * @return a word for each engine of which a rate is known
      */
     public List<EngineWord> words(long now) {
         return mLimits.values().stream()
-                .filter(l -> l.shared().word().isNamed())
-                .filter(l -> now - l.shared().word().lastNanos() < TELL_NANOS)
+                .filter(l -> l.shared().heard().isHeard())
+                .filter(l -> now - l.shared().heard().lastNanos() < TELL_NANOS)
                 .map(l -> word(l.engine(), l.shared()))
                 .toList();
     }
 
     private static EngineWord word(Engine engine, SharedRateLimit shared) {
-        return new EngineWord(engine.id(), engine.startedMillis(), shared.word());
+        return new EngineWord(engine.id(), engine.startedMillis(), shared.heard());
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/RateWord.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/RateWord.java
@@ -41,21 +41,26 @@
     /**
      * Returns whether the engine has ever named a rate.
      *
-     * @return false if there is nothing to tell other nodes
+     * @return true if there is a rate and the time at which it was last named
      */
     public boolean isNamed() {
         return namedNanos != NEVER;
     }
 
     /**
-     * Returns whether the engine has named no rate since its first response.
+     * Returns whether there was a response without a rate.
      *
-     * @return true if a response without a rate came after the last one with it
+     * @return true if there is the time of the last such response
      */
     public boolean isCleared() {
         return clearedNanos != NEVER;
     }
 
+    /** Returns whether there was any response while a rate was known. */
+    boolean isHeard() {
+        return isNamed() || isCleared();
+    }
+
     long lastNanos() {
         return Math.max(namedNanos, clearedNanos);
     }
--- a/core/src/main/java/org/fescuehollow/dispatch/SharedRateLimit.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/SharedRateLimit.java
@@ -29,6 +29,7 @@
     /** Responses without a rate lift it only after this time, as they may be older. */
     private static final long HOLD_NANOS = Duration.ofSeconds(2).toNanos();
 
+    private RateWord mHeard = RateWord.NONE;
     private RateWord mWord = RateWord.NONE;
     private double mSaved;
     private long mSavedNanos;
@@ -39,11 +40,11 @@
      * @return true if the limit came into force or was lifted
      */
     boolean onResponse(OptionalDouble perSecond, long now) {
-        return merge(
+        mHeard =
                 perSecond.isPresent()
-                        ? RateWord.named(perSecond.getAsDouble(), now)
-                        : mWord.cleared(now),
-                now);
+                        ? mHeard.latest(RateWord.named(perSecond.getAsDouble(), now))
+                        : mHeard.cleared(now);
+        return merge(mHeard, now);
     }
 
     /**
@@ -61,6 +62,12 @@
         return isInForce() != before;
     }
 
+    /** Returns what this node was told by the engine itself, which is all that it passes on. */
+    RateWord heard() {
+        return mHeard;
+    }
+
+    /** Returns what any node was told. */
     RateWord word() {
         return mWord;
     }
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineRatesTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineRatesTest.java
@@ -167,6 +167,24 @@
         then(fleet.get(1).maySend(ENGINE, 4 * SECOND_NANOS)).isTrue();
     }
 
+    @Test
+    void rate_isLiftedWhileNodesTellEachOtherWithDelay() {
+        List<EngineRates> fleet = fleet(2);
+        fleet.get(0).onResponse(ENGINE, OptionalDouble.of(1), 0);
+        long delay = 100 * MILLI_NANOS;
+        for (long now = delay; now <= 4 * SECOND_NANOS; now += delay) {
+            for (int i = 0; i < 2; i++) {
+                for (EngineRates.EngineWord word : fleet.get(i).words(now)) {
+                    RateWord late = RateWord.named(1, word.word().namedNanos() + delay);
+                    fleet.get(1 - i)
+                            .onTold(ENGINE, new EngineRates.EngineWord(ENGINE.id(), 1, late), now);
+                }
+            }
+        }
+        fleet.get(0).onResponse(ENGINE, OptionalDouble.empty(), 4 * SECOND_NANOS);
+        then(fleet.get(0).inForce()).isEmpty();
+    }
+
     @Test
     void words_areToldForAMinute() {
         EngineRates rates = fleet(1).get(0);
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/RateExchange.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/RateExchange.java
@@ -86,11 +86,12 @@
     private static EngineRate encode(EngineWord told, long now) {
         RateWord word = told.word();
         EngineRate.Builder message =
-                EngineRate.newBuilder()
-                        .setEngine(told.engine())
-                        .setStartedMs(told.startedMillis())
-                        .setPerSecond(word.perSecond())
-                        .setNamedMsAgo(millis(now - word.namedNanos()));
+                EngineRate.newBuilder().setEngine(told.engine()).setStartedMs(told.startedMillis());
+        if (word.isNamed()) {
+            message.setNamed(true)
+                    .setPerSecond(word.perSecond())
+                    .setNamedMsAgo(millis(now - word.namedNanos()));
+        }
         if (word.isCleared()) {
             message.setCleared(true).setClearedMsAgo(millis(now - word.clearedNanos()));
         }
@@ -98,8 +99,11 @@
     }
 
     private static EngineWord decode(EngineRate message, long now) {
+        long namedNanos = now - nanos(message.getNamedMsAgo());
         RateWord named =
-                RateWord.named(message.getPerSecond(), now - nanos(message.getNamedMsAgo()));
+                message.getNamed()
+                        ? RateWord.named(message.getPerSecond(), namedNanos)
+                        : RateWord.NONE;
         RateWord word =
                 message.getCleared()
                         ? named.cleared(now - nanos(message.getClearedMsAgo()))
