Requests that a leaving engine drops are no evidence against their traits

What callers would have seen: engines that were taken away at short notice with requests open count as crashed, and three of them block a part that sound requests share.

Cause: whether an engine is draining was looked up as of the sending of the request, when it was not. It is looked up when the connection ends now, and an engine whose entry is gone counts as leaving too.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/CrashGuard.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/CrashGuard.java
@@ -6,6 +6,7 @@
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.gateway.exchange.SuspicionExchange;
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.suspects.CrashTraits;
 
 /**
@@ -15,10 +16,16 @@
  */
 final class CrashGuard {
     private final NodeContext mNode;
+    private final CatalogService mCatalog;
     private final CrashTraits mTraits;
     private final SuspicionExchange mExchange;
 
-    CrashGuard(NodeContext node, CrashTraits traits, SuspicionExchange exchange) {
+    CrashGuard(
+            NodeContext node,
+            CatalogService catalog,
+            CrashTraits traits,
+            SuspicionExchange exchange) {
+        mCatalog = catalog;
         mNode = node;
         mTraits = traits;
         mExchange = exchange;
@@ -35,8 +42,12 @@
      * Records that an engine closed the connection of a request that it had not begun to answer.
      */
     void onBroken(Engine engine, Set<Long> traits) {
+        boolean leaving =
+                mCatalog.engine(engine.id())
+                        .filter(e -> e.isSameIncarnation(engine) && !e.draining())
+                        .isEmpty();
         // An engine that leaves may end with requests open.
-        if (!engine.draining()) {
+        if (!leaving) {
             long crash = CrashTraits.crashOf(engine);
             mExchange.onFound(mTraits.onCrash(traits, crash, mNode.clock().now()));
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -93,7 +93,7 @@
         CatalogService catalog = kernel.find(CatalogService.NAME, CatalogService.class);
         OrderService orders = kernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = kernel.find(ExchangeService.NAME, ExchangeService.class);
-        CrashGuard crashGuard = new CrashGuard(mNode, mCrashTraits, exchange.suspicions());
+        CrashGuard crashGuard = new CrashGuard(mNode, catalog, mCrashTraits, exchange.suspicions());
         mContext =
                 new RequestContext(
                         mNode, catalog, mDispatcher, mResidency, orders, exchange, crashGuard);
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -45,10 +45,18 @@
         mServer.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
     }
 
+    public String id() {
+        return mId;
+    }
+
     public String entry() {
         return entry(mService, mServer.actualPort(), models());
     }
 
+    public String drainingEntry() {
+        return new JsonObject(entry()).put("state", "draining").encode();
+    }
+
     static String entry(String service, int port, JsonArray models) {
         return new JsonObject()
                 .put("service", service)
