Keep the latest crashes of a trait instead of its first ones

What would have been seen: a part that sound requests share, cleared through many crashes within ten minutes, could neither be found once it crashed engines itself nor be cleared by other nodes, as evidence beyond 16 crashes was ignored.

CrashTraitsTest.trait_thatWasClearedManyTimes... failed before.

--- a/core/src/main/java/org/fescuehollow/suspects/CrashSuspicion.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashSuspicion.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The evidence that a trait of requests crashes backend servers.
@@ -68,6 +69,21 @@
         return received.open().keySet().stream().anyMatch(refuted::contains);
     }
 
+    /** Returns the evidence with only the latest crashes. */
+    CrashSuspicion latest(int maxCrashes) {
+        if (crashes.size() <= maxCrashes) {
+            return this;
+        }
+        Map<Long, Long> latest =
+                crashes.entrySet().stream()
+                        .sorted(Map.Entry.<Long, Long>comparingByValue().reversed())
+                        .limit(maxCrashes)
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        Set<Long> known = new HashSet<>(refuted);
+        known.retainAll(latest.keySet());
+        return new CrashSuspicion(trait, latest, known);
+    }
+
     /** Returns whether two pieces of evidence are the same except for the times of crashes. */
     boolean isSameEvidence(CrashSuspicion other) {
         return crashes.keySet().equals(other.crashes.keySet()) && refuted.equals(other.refuted);
--- a/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -48,7 +48,7 @@
     /** Shorter than a restart, so that a response within this time comes from the same process. */
     private static final Duration MIN_RESTART = Duration.ofMillis(1_500);
 
-    /** More crashes than this add nothing to the evidence for a trait. */
+    /** The number of crashes that are kept for a trait, the latest ones. */
     private static final int MAX_CRASHES_PER_TRAIT = 16;
 
     private final Map<Long, CrashSuspicion> mSuspicions = new LinkedHashMap<>();
@@ -123,11 +123,9 @@
     public Optional<CrashSuspicion> merge(CrashSuspicion suspicion, long now) {
         mSuspicions.values().removeIf(s -> isExpired(s, now));
         CrashSuspicion known = mSuspicions.get(suspicion.trait());
-        CrashSuspicion merged = known == null ? suspicion : known.merge(suspicion);
-        boolean unchanged =
-                known != null
-                        && (known.isSameEvidence(merged)
-                                || merged.crashes().size() > MAX_CRASHES_PER_TRAIT);
+        CrashSuspicion merged =
+                (known == null ? suspicion : known.merge(suspicion)).latest(MAX_CRASHES_PER_TRAIT);
+        boolean unchanged = known != null && known.isSameEvidence(merged);
         if (unchanged || isExpired(merged, now)) {
             return Optional.empty();
         }
--- a/core/src/test/java/org/fescuehollow/suspects/CrashTraitsTest.java
+++ b/core/src/test/java/org/fescuehollow/suspects/CrashTraitsTest.java
@@ -143,6 +143,22 @@
         then(mTraits.blocked(5 * SECOND_NANOS)).containsExactly(CRASHING);
     }
 
+    @Test
+    void trait_thatWasClearedManyTimesIsStillFoundOnceItCrashes() {
+        for (int i = 0; i < 40; i++) {
+            crash(i, i * SECOND_NANOS, SHARED);
+            answer(100, 0, i * SECOND_NANOS + 1, SHARED);
+        }
+        then(mTraits.blocked(40 * SECOND_NANOS)).isEmpty();
+        for (int i = 40; i < 43; i++) {
+            crash(i, i * SECOND_NANOS, SHARED);
+        }
+        then(mTraits.blocked(43 * SECOND_NANOS)).containsExactly(SHARED);
+        then(mTraits.find(SHARED).orElseThrow().crashes()).hasSizeLessThan(20);
+        answer(100, 0, 44 * SECOND_NANOS, SHARED);
+        then(mTraits.blocked(44 * SECOND_NANOS)).isEmpty();
+    }
+
     @Test
     void trait_isForgottenAfterTheRetentionTime() {
         for (int i = 1; i <= 3; i++) {
