Evidence for many traits costs little at each change

What would have been seen: a node of a small VM stands still after many engines fail at once.

Counts are kept instead of copies, and expired evidence is looked for once a second. No decision changes; the tests are as they were.

--- a/core/src/main/java/org/fescuehollow/suspects/CrashSuspicion.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashSuspicion.java
@@ -15,13 +15,15 @@
  * @param trait the hash of the trait
  * @param crashes the crashes that ended a request with the trait before its response began, each
  *     with its time on this node's monotonic clock in nanoseconds
- * @param refuted the crashes that the trait did not cause
+ * @param refuted those of the crashes that the trait did not cause
  */
 public record CrashSuspicion(long trait, Map<Long, Long> crashes, Set<Long> refuted) {
-    /** Copies the collections. */
+    /** Copies the collections; what is refuted but not recorded is left out. */
     public CrashSuspicion {
         crashes = Map.copyOf(crashes);
-        refuted = Set.copyOf(refuted);
+        Set<Long> known = new HashSet<>(refuted);
+        known.retainAll(crashes.keySet());
+        refuted = Set.copyOf(known);
     }
 
     /**
@@ -43,9 +45,7 @@
      * @return the evidence
      */
     public CrashSuspicion refute(Set<Long> cleared) {
-        Set<Long> known = new HashSet<>(cleared);
-        known.retainAll(crashes.keySet());
-        return new CrashSuspicion(trait, crashes, union(refuted, known));
+        return new CrashSuspicion(trait, crashes, union(refuted, cleared));
     }
 
     /**
@@ -59,6 +59,15 @@
         return open;
     }
 
+    /**
+     * Returns the number of crashes that the trait may have caused.
+     *
+     * @return the size of {@link #open}
+     */
+    public int openCount() {
+        return crashes.size() - refuted.size();
+    }
+
     /**
      * Returns whether another node's evidence holds crashes that are refuted here.
      *
@@ -79,9 +88,7 @@
                         .sorted(Map.Entry.<Long, Long>comparingByValue().reversed())
                         .limit(maxCrashes)
                         .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        Set<Long> known = new HashSet<>(refuted);
-        known.retainAll(latest.keySet());
-        return new CrashSuspicion(trait, latest, known);
+        return new CrashSuspicion(trait, latest, refuted);
     }
 
     /** Returns whether two pieces of evidence are the same except for the times of crashes. */
--- a/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
+++ b/core/src/main/java/org/fescuehollow/suspects/CrashTraits.java
@@ -51,7 +51,11 @@
     /** The number of crashes that are kept for a trait, the latest ones. */
     private static final int MAX_CRASHES_PER_TRAIT = 16;
 
+    /** Evidence is looked through for what has expired this often. */
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofSeconds(1);
+
     private final Map<Long, CrashSuspicion> mSuspicions = new LinkedHashMap<>();
+    private long mExpiryCheckNanos;
 
     /**
      * Returns the identity that a crash of a server has on every node.
@@ -92,25 +96,25 @@
             Collection<Long> traits, long crash, long sentNanos, long now) {
         List<CrashSuspicion> refuted =
                 mSuspicions.values().stream()
-                        .map(
-                                s ->
-                                        traits.contains(s.trait())
-                                                ? s.refute(s.crashes().keySet())
-                                                : refuteIfAlive(s, crash, sentNanos, now))
-                        .filter(s -> !s.isSameEvidence(mSuspicions.get(s.trait())))
+                        .filter(s -> s.openCount() > 0)
+                        .flatMap(s -> refute(s, traits, crash, sentNanos, now).stream())
                         .toList();
         refuted.forEach(s -> mSuspicions.put(s.trait(), s));
         return refuted;
     }
 
-    private static CrashSuspicion refuteIfAlive(
-            CrashSuspicion s, long crash, long sentNanos, long now) {
+    private static Optional<CrashSuspicion> refute(
+            CrashSuspicion s, Collection<Long> traits, long crash, long sentNanos, long now) {
+        if (traits.contains(s.trait())) {
+            return Optional.of(s.refute(s.crashes().keySet()));
+        }
         Long crashNanos = s.crashes().get(crash);
         boolean alive =
                 crashNanos != null
                         && sentNanos > crashNanos
-                        && now - crashNanos < MIN_RESTART.toNanos();
-        return alive ? s.refute(Set.of(crash)) : s;
+                        && now - crashNanos < MIN_RESTART.toNanos()
+                        && !s.refuted().contains(crash);
+        return alive ? Optional.of(s.refute(Set.of(crash))) : Optional.empty();
     }
 
     /**
@@ -121,7 +125,7 @@
      * @return the evidence of both if it changed, otherwise empty
      */
     public Optional<CrashSuspicion> merge(CrashSuspicion suspicion, long now) {
-        mSuspicions.values().removeIf(s -> isExpired(s, now));
+        removeExpired(now);
         CrashSuspicion known = mSuspicions.get(suspicion.trait());
         CrashSuspicion merged =
                 (known == null ? suspicion : known.merge(suspicion)).latest(MAX_CRASHES_PER_TRAIT);
@@ -136,6 +140,13 @@
         return Optional.of(merged);
     }
 
+    private void removeExpired(long now) {
+        if (now - mExpiryCheckNanos >= EXPIRY_CHECK_INTERVAL.toNanos()) {
+            mExpiryCheckNanos = now;
+            mSuspicions.values().removeIf(s -> isExpired(s, now));
+        }
+    }
+
     private static boolean isExpired(CrashSuspicion s, long now) {
         return s.crashes().values().stream().allMatch(t -> now - t >= RETENTION.toNanos());
     }
@@ -143,7 +154,7 @@
     /** Returns the trait with the fewest open crashes, and of these the one known longest. */
     private long leastSuspect() {
         return mSuspicions.values().stream()
-                .min(Comparator.comparingInt(s -> s.open().size()))
+                .min(Comparator.comparingInt(CrashSuspicion::openCount))
                 .orElseThrow()
                 .trait();
     }
@@ -186,7 +197,7 @@
     private List<Long> companions(long trait) {
         Set<Long> crashes = mSuspicions.get(trait).open().keySet();
         return mSuspicions.values().stream()
-                .filter(s -> s.open().keySet().equals(crashes))
+                .filter(s -> s.openCount() == crashes.size() && s.open().keySet().equals(crashes))
                 .map(CrashSuspicion::trait)
                 .toList();
     }
@@ -201,13 +212,15 @@
      */
     public boolean isBlocked(long trait, long now) {
         CrashSuspicion s = mSuspicions.get(trait);
-        if (s == null || isExpired(s, now) || !isEnough(s.open())) {
+        boolean few = s == null || s.openCount() < CRASH_LIMIT || isExpired(s, now);
+        if (few || !isEnough(s.open())) {
             return false;
         }
         Map<Long, Long> unexplained = new HashMap<>(s.open());
         mSuspicions.values().stream()
+                .filter(other -> other.openCount() > s.openCount())
                 .map(CrashSuspicion::open)
-                .filter(open -> open.size() > s.open().size() && isEnough(open))
+                .filter(CrashTraits::isEnough)
                 .forEach(open -> unexplained.keySet().removeAll(open.keySet()));
         return isEnough(unexplained);
     }
@@ -226,8 +239,8 @@
      */
     public List<CrashSuspicion> openSuspicions(int limit) {
         return mSuspicions.values().stream()
-                .filter(s -> !s.open().isEmpty())
-                .sorted(Comparator.comparingInt((CrashSuspicion s) -> -s.open().size()))
+                .filter(s -> s.openCount() > 0)
+                .sorted(Comparator.comparingInt((CrashSuspicion s) -> -s.openCount()))
                 .limit(limit)
                 .toList();
     }
