--- a/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
@@ -1,6 +1,7 @@
 package org.fescuehollow.dispatch;
 
 import static org.assertj.core.api.BDDAssertions.then;
+import static org.assertj.core.api.BDDAssertions.thenThrownBy;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -65,4 +66,54 @@
         then(offered).containsExactly("b");
         then(queue.size()).isEqualTo(1);
     }
+
+    /** Guards against sending a request twice after an exception for another one. */
+    @Test
+    void removeAccepted_doesNotPassAcceptedItemsAgainAfterAnException() {
+        WaitQueue<DispatchRequest> queue = new WaitQueue<>(Function.identity());
+        List.of(request("a", 0, 0, 9), request("odd", 0, 1, 9), request("b", 0, 2, 9))
+                .forEach(queue::add);
+        List<String> accepted = new ArrayList<>();
+        thenThrownBy(() -> queue.removeAccepted(c -> acceptUnlessOdd(c, accepted), 0))
+                .hasMessage("odd");
+        queue.removeAccepted(c -> acceptUnlessOdd(c, accepted), 0);
+        then(accepted).containsExactly("a", "b");
+        then(queue.size()).isZero();
+    }
+
+    private static boolean acceptUnlessOdd(DispatchRequest request, List<String> accepted) {
+        if (request.id().equals("odd")) {
+            throw new IllegalStateException("odd");
+        }
+        return accepted.add(request.id());
+    }
+
+    /** Guards against sending a request twice if accepting one places another. */
+    @Test
+    void removeAccepted_passesNoItemTwiceInNestedPasses() {
+        WaitQueue<DispatchRequest> queue = new WaitQueue<>(Function.identity());
+        List.of(request("a", 0, 0, 9), request("b", 0, 1, 9)).forEach(queue::add);
+        List<String> accepted = new ArrayList<>();
+        queue.removeAccepted(
+                c -> {
+                    queue.removeAccepted(n -> accepted.add(n.id()), 0);
+                    return accepted.add(c.id());
+                },
+                0);
+        then(accepted).containsExactlyInAnyOrder("a", "b");
+    }
+
+    /** Guards against losing a request that waits again by the time it was accepted. */
+    @Test
+    void removeAccepted_keepsAnItemThatItsAcceptorAddedAgain() {
+        WaitQueue<DispatchRequest> queue = new WaitQueue<>(Function.identity());
+        queue.add(request("a", 0, 0, 9));
+        queue.removeAccepted(
+                c -> {
+                    queue.add(c);
+                    return true;
+                },
+                0);
+        then(queue.size()).isEqualTo(1);
+    }
 }
