Requests: an exception ends its own request, once, with a true error

Cause: no callback of a request was guarded. HttpClient.request throws for some addresses instead of returning a failed future, and the exception left start, the wait queue or a timer in the middle: the request neither waited nor had an attempt that could end.

Fix: every callback of a request and its attempts runs under a RequestGuard, which logs and counts the exception and ends the request: with 'not run' only if no attempt may have run, by closing a response that has begun. An address that the client rejects counts as unreachable. A request at an engine is never placed again.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -1,5 +1,8 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -76,7 +79,25 @@
                         .setMethod(mProxiedRequest.clientRequest().method())
                         .setURI(mProxiedRequest.clientRequest().uri())
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-        httpClient().request(options).onSuccess(this::onConnected).onFailure(this::onUnreachable);
+        connect(options)
+                .onSuccess(guarded(this::onConnected))
+                .onFailure(guarded(this::onUnreachable));
+    }
+
+    /** Returns a failed future, as for an unreachable engine, if the client rejects an option. */
+    private Future<HttpClientRequest> connect(RequestOptions options) {
+        try {
+            return httpClient().request(options);
+        } catch (RuntimeException e) {
+            mContext.node().log().event("connect_exception", "engine", mEngine.id(), "cause", e);
+            Promise<HttpClientRequest> promise = Promise.promise();
+            mContext.node().vertx().runOnContext(v -> promise.fail(e));
+            return promise.future();
+        }
+    }
+
+    private <T> Handler<T> guarded(Handler<T> handler) {
+        return mProxiedRequest.guard().handler(handler);
     }
 
     private HttpClient httpClient() {
@@ -114,8 +135,8 @@
                     request.headers(), mProxiedRequest.eventSplitter().lastEventId());
         }
         mSentNanos = mContext.now();
-        request.exceptionHandler(this::onBroken);
-        request.response().onSuccess(this::onResponse).onFailure(this::onBroken);
+        request.exceptionHandler(guarded(this::onBroken));
+        request.response().onSuccess(guarded(this::onResponse)).onFailure(guarded(this::onBroken));
         mProxiedRequest.onSent();
         if (mProxiedRequest.route().kind() == RouteKind.STREAM) {
             mStream = Optional.of(mContext.watchStream(this, mProxiedRequest.route()));
@@ -126,18 +147,18 @@
     private void sendBody(HttpClientRequest request) {
         Buffer body = mProxiedRequest.body();
         if (body.length() > 0) {
-            request.end(body).onFailure(this::onBroken);
+            request.end(body).onFailure(guarded(this::onBroken));
             return;
         }
         if (!request.getMethod().equals(HttpMethod.GET)) {
             request.putHeader(HttpHeaders.CONTENT_LENGTH, "0");
         }
-        request.end().onFailure(this::onBroken);
+        request.end().onFailure(guarded(this::onBroken));
     }
 
     private void onBroken(Throwable cause) {
         if (!mEnded && !mAnswered) {
-            mProxiedRequest.onBroken(mEngine);
+            mProxiedRequest.traits().onBroken(mEngine);
         }
         onFailure(cause);
     }
@@ -145,7 +166,7 @@
     private void markAnswered() {
         if (!mAnswered) {
             mAnswered = true;
-            mProxiedRequest.onAnswered(mEngine, mSentNanos);
+            mProxiedRequest.traits().onAnswered(mEngine, mSentNanos);
         }
     }
 
@@ -175,6 +196,10 @@
      * request.
      */
     void onSilence() {
+        mProxiedRequest.guard().run(this::onSilenceGuarded);
+    }
+
+    private void onSilenceGuarded() {
         if (!mEnded && mProxiedRequest.tryLeaveSilentEngine(mEngine)) {
             markEnded();
             closeConnection();
@@ -195,7 +220,7 @@
         if (mEnded) {
             return;
         }
-        response.exceptionHandler(this::onBroken);
+        response.exceptionHandler(guarded(this::onBroken));
         ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
         boolean otherRequest =
                 !head.attemptId().isEmpty()
@@ -249,12 +274,12 @@
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
         if (mProxiedRequest.route().kind() == RouteKind.STREAM && head.status() == STATUS_OK) {
-            response.handler(b -> relayEvents(response, b));
-            response.endHandler(v -> onRelayedEnd(response));
+            response.handler(guarded(b -> relayEvents(response, b)));
+            response.endHandler(guarded(v -> onRelayedEnd(response)));
         } else {
             Buffer buffered = Buffer.buffer();
-            response.handler(b -> buffer(response, buffered, b));
-            response.endHandler(v -> onBufferedEnd(response, buffered));
+            response.handler(guarded(b -> buffer(response, buffered, b)));
+            response.endHandler(guarded(v -> onBufferedEnd(response, buffered)));
         }
     }
 
@@ -297,7 +322,7 @@
         mProxiedRequest.response().write(data);
         if (mProxiedRequest.response().isWriteQueueFull()) {
             response.pause();
-            mProxiedRequest.response().onDrain(response::resume);
+            mProxiedRequest.response().onDrain(guarded(v -> response.resume()));
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -74,8 +75,8 @@
         return mResponse.writeQueueFull();
     }
 
-    void onDrain(Runnable action) {
-        mResponse.drainHandler(v -> action.run());
+    void onDrain(Handler<Void> handler) {
+        mResponse.drainHandler(handler);
     }
 
     void write(Buffer data) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -173,12 +173,16 @@
                         reject(request, GatewayError.BODY_TOO_LONG);
                     }
                 });
+        String id = RequestHead.attemptId(request.headers());
+        RequestGuard guard =
+                new RequestGuard(mNode, id, e -> reject(request, GatewayError.NOT_RUN));
         request.endHandler(
-                v -> {
-                    if (!request.response().ended()) {
-                        onRequestRead(request, body);
-                    }
-                });
+                guard.handler(
+                        v -> {
+                            if (!request.response().ended()) {
+                                onRequestRead(request, body);
+                            }
+                        }));
     }
 
     private void onRequestRead(HttpServerRequest request, Buffer body) {
@@ -221,7 +225,7 @@
     }
 
     private void reject(HttpServerRequest request, GatewayError error) {
-        String id = RequestHead.of(request.headers()).attemptId();
+        String id = RequestHead.attemptId(request.headers());
         mNode.metrics().countRequest("", error.code());
         mNode.log().event("rejected", "id", id, "outcome", error.code(), "uri", request.uri());
         new ClientResponse(mContext, request).sendError(error, id, 0.5);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -12,7 +12,6 @@
 import org.fescuehollow.dispatch.Placement;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.platform.RequestHead;
-import org.fescuehollow.residency.AdapterDemand;
 
 /**
  * One client request, from its arrival to the end of its response.
@@ -31,8 +30,9 @@
     private final Route mRoute;
     private final RequestHead mHead;
     private final RequestLog mLog;
+    private final RequestGuard mGuard;
+    private final RequestTraits mTraits;
     private DispatchRequest mDispatchRequest;
-    private Set<Long> mTraits = Set.of();
     private final ClientResponse mResponse;
     private final SseEventSplitter mEventSplitter = new SseEventSplitter();
     private final Set<String> mExcludedEngines = new HashSet<>();
@@ -60,6 +60,8 @@
         mDispatchRequest = dispatchRequest;
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
+        mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
+        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> onException());
     }
 
     DispatchRequest dispatchRequest() {
@@ -90,6 +92,15 @@
         return mDone;
     }
 
+    RequestTraits traits() {
+        return mTraits;
+    }
+
+    /** Returns the guard that all callbacks of the request and its attempts run under. */
+    RequestGuard guard() {
+        return mGuard;
+    }
+
     /** Returns the time until the deadline, at least 1 millisecond. */
     long remainingMillis() {
         return Math.max(
@@ -98,20 +109,24 @@
 
     void start() {
         mContext.onRequestStarted();
+        mGuard.run(this::startGuarded);
+    }
+
+    private void startGuarded() {
+        mClientRequest.response().closeHandler(mGuard.handler(v -> onClientDisconnected()));
+        mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
+        mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
-        mClientRequest.response().closeHandler(v -> onClientDisconnected());
-        mClientRequest.response().exceptionHandler(e -> onClientDisconnected());
-        mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
         placeOrWait();
     }
 
     private long setTimer(long millis, Runnable action) {
-        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> action.run());
+        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> mGuard.run(action));
     }
 
     private void placeOrWait() {
-        if (mDone || tryPlace()) {
+        if (mDone || place()) {
             return;
         }
         long now = mContext.now();
@@ -131,42 +146,38 @@
 
     /** Sends the request if an engine can take it now; returns whether it was sent or has ended. */
     boolean tryPlace() {
-        if (mDone) {
+        return mGuard.test(this::place);
+    }
+
+    private boolean place() {
+        if (mDone || mAttempt.isPresent()) {
             return true;
         }
-        if (isBlocked()) {
+        if (mTraits.isBlocked()) {
             fail(mMayHaveRun ? GatewayError.ANSWER_LOST : GatewayError.CRASHES_ENGINES);
             return true;
         }
         long now = mContext.now();
         Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
         if (placement instanceof Placement.Send send) {
-            send.loadTarget().ifPresent(e -> requestAdapter(mDispatchRequest, e));
+            send.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
             return mContext.catalog().engine(send.engine()).map(e -> sendTo(e, now)).orElse(false);
         }
         Placement.Wait wait = (Placement.Wait) placement;
         mWaitReason = wait.reason().name();
         mLoadingEngine = wait.loadTarget().orElse("");
-        wait.loadTarget().ifPresent(e -> requestAdapter(mDispatchRequest, e));
+        wait.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
         return false;
     }
 
-    /** Returns the traits, which are computed only once they matter. */
-    private Set<Long> traits() {
-        if (mTraits.isEmpty()) {
-            mTraits = DispatchRequests.traits(mClientRequest, mDispatchRequest, mBody);
-        }
-        return mTraits;
-    }
-
-    private boolean isBlocked() {
-        return mContext.crashGuard().findBlocked(this::traits).isPresent();
-    }
-
     /** Abandons the request if it waits at an engine that it would crash. */
     void abandonIfBlocked() {
+        mGuard.run(this::abandonIfBlockedGuarded);
+    }
+
+    private void abandonIfBlockedGuarded() {
         Optional<Attempt> attempt = mAttempt.filter(a -> !a.isAnswered());
-        if (attempt.isPresent() && isBlocked()) {
+        if (attempt.isPresent() && mTraits.isBlocked()) {
             attempt.get().cancel();
             onAttemptEnded(attempt.get().engine(), "abandoned");
             mMayHaveRun = true;
@@ -174,20 +185,10 @@
         }
     }
 
-    private void requestAdapter(DispatchRequest dispatchRequest, String engine) {
-        AdapterDemand demand =
-                new AdapterDemand(
-                        dispatchRequest.adapter(),
-                        dispatchRequest.minVersion(),
-                        dispatchRequest.rank(),
-                        QueueTimeout.expiryNanos(dispatchRequest));
-        mContext.orders().requestAdapter(engine, demand);
-    }
-
     private boolean sendTo(Engine engine, long now) {
         mContext.dispatcher().onSent(engine.id(), mDispatchRequest, now);
         mWaitReason = "";
-        publishWork(engine);
+        mContext.publishWork(mDispatchRequest, engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
         mContext.onSentToEngine(this);
@@ -199,20 +200,10 @@
     /** Handles the start of the response of an engine. */
     void onResponseStarted(Engine engine) {
         mContext.dispatcher().onFirstEvent(engine.id(), mDispatchRequest, mContext.now());
-        publishWork(engine);
+        mContext.publishWork(mDispatchRequest, engine);
         mContext.dispatchWaiting();
     }
 
-    /** Records that an engine has begun to answer a request that was sent to it at a time. */
-    void onAnswered(Engine engine, long sentNanos) {
-        mContext.crashGuard().onAnswered(engine, this::traits, sentNanos);
-    }
-
-    /** Records that an engine closed the connection without beginning to answer. */
-    void onBroken(Engine engine) {
-        mContext.crashGuard().onBroken(engine, traits());
-    }
-
     /** Records that an attempt sends the request to an engine, which may run it from now on. */
     void onSent() {
         mRuns++;
@@ -305,7 +296,7 @@
             return mContext.tryRetry(mDispatchRequest.service());
         }
         if (placement instanceof Placement.Wait wait) {
-            wait.loadTarget().ifPresent(e -> requestAdapter(dispatchRequest, e));
+            wait.loadTarget().ifPresent(e -> mContext.requestAdapter(dispatchRequest, e));
         }
         return false;
     }
@@ -320,18 +311,12 @@
         finish("status_" + status, engine.id());
     }
 
-    private void publishWork(Engine engine) {
-        if (mDispatchRequest.needsModelEngine()) {
-            mContext.orders().onWorkChanged(engine.id());
-        }
-    }
-
     private void onAttemptEnded(Engine engine, String result) {
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
         mContext.onLeftEngine(this);
         mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
-        publishWork(engine);
+        mContext.publishWork(mDispatchRequest, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
             mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
@@ -380,19 +365,32 @@
         }
     }
 
+    /** Ends the request after an exception, with an error that tells whether it may have run. */
+    private void onException() {
+        if (mDone) {
+            return;
+        }
+        mMayHaveRun |= mRuns > 0;
+        mGuard.run(() -> mAttempt.ifPresent(Attempt::cancel));
+        mGuard.run(this::giveUp);
+        if (!mDone) {
+            mResponse.abort();
+            finish("aborted", "exception");
+        }
+    }
+
     private void finish(String outcome, String detail) {
         mDone = true;
-        mContext.onLeftEngine(this);
-        mAttempt.ifPresent(
+        mContext.onRequestEnded(this);
+        mContext.node().vertx().cancelTimer(mDeadlineTimer);
+        mContext.node().vertx().cancelTimer(mWaitTimer);
+        Optional<Attempt> attempt = mAttempt;
+        mAttempt = Optional.empty();
+        attempt.ifPresent(
                 a -> {
                     mContext.dispatcher().onEnded(a.engine().id(), mDispatchRequest);
-                    publishWork(a.engine());
+                    mContext.publishWork(mDispatchRequest, a.engine());
                 });
-        mAttempt = Optional.empty();
-        mContext.waitQueue().remove(this);
-        mContext.onRequestEnded();
-        mContext.node().vertx().cancelTimer(mDeadlineTimer);
-        mContext.node().vertx().cancelTimer(mWaitTimer);
         mContext.node().metrics().countRequest(mDispatchRequest.service(), outcome);
         mLog.logEnded(mRoute, mDispatchRequest, outcome, detail, mResponse, mContext.now());
         mContext.dispatchWaiting();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
+import org.fescuehollow.dispatch.DispatchRequest;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.dispatch.EngineInactivityDetector;
+import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.dispatch.WaitQueue;
 import org.fescuehollow.dispatch.WindowedRetryBudget;
 import org.fescuehollow.gateway.exchange.ExchangeService;
@@ -19,6 +22,7 @@
 import org.fescuehollow.gateway.orders.OrderService;
 import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.platform.ResponseHead;
+import org.fescuehollow.residency.AdapterDemand;
 import org.fescuehollow.residency.ResidencyTable;
 
 /** The state that all requests of a node share. Not thread-safe; used on the node's event loop. */
@@ -159,7 +163,7 @@
      */
     void checkSilentStreams() {
         mInactivityDetector.pollInactive(now()).stream()
-                .map(mStreams::get)
+                .flatMap(s -> Stream.ofNullable(mStreams.get(s)))
                 .toList()
                 .forEach(Attempt::onSilence);
     }
@@ -203,8 +207,29 @@
         mOpenRequests++;
     }
 
-    void onRequestEnded() {
+    /** Records that a request has ended; called once for each. */
+    void onRequestEnded(ProxiedRequest request) {
         mOpenRequests--;
+        mSent.remove(request);
+        mWaitQueue.remove(request);
+    }
+
+    /** Requests the adapter of a waiting request on an engine. */
+    void requestAdapter(DispatchRequest request, String engine) {
+        AdapterDemand demand =
+                new AdapterDemand(
+                        request.adapter(),
+                        request.minVersion(),
+                        request.rank(),
+                        QueueTimeout.expiryNanos(request));
+        mOrders.requestAdapter(engine, demand);
+    }
+
+    /** Publishes this node's work on an engine, which a request has changed. */
+    void publishWork(DispatchRequest request, Engine engine) {
+        if (request.needsModelEngine()) {
+            mOrders.onWorkChanged(engine.id());
+        }
     }
 
     int openRequests() {
