Store entries: what can't be used is rejected when it is read

Errors other than DecodeException, such as an overflow of the stack, would have ended the pass over all entries.

--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -139,9 +139,21 @@
                     .filter(s -> s.adapterSlots() > 0)
                     .ifPresent(
                             s ->
-                                    mControllers
-                                            .computeIfAbsent(e.id(), id -> createController(e, s))
-                                            .tick(e, now));
+                                    tick(
+                                            mControllers.computeIfAbsent(
+                                                    e.id(), id -> createController(e, s)),
+                                            e,
+                                            now));
+        }
+    }
+
+    /** An exception for one engine must not keep the others from being checked. */
+    private void tick(EngineController controller, Engine engine, long now) {
+        try {
+            controller.tick(engine, now);
+        } catch (RuntimeException e) {
+            mContext.metrics().countEvent("engine_check_failed");
+            mContext.log().event("engine_check_failed", "engine", engine.id(), "cause", e);
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -19,7 +19,6 @@
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.platform.ConfigurationCodec;
-import org.fescuehollow.platform.DecodeException;
 import org.fescuehollow.platform.EngineCodec;
 import org.fescuehollow.platform.StoreClient;
 import org.fescuehollow.platform.StoreItem;
@@ -154,7 +153,7 @@
                         .ifPresent(
                                 v -> mAdapterVersions.merge(v.getKey(), v.getValue(), Math::max));
             }
-        } catch (DecodeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             onUnreadable(item, e);
         }
     }
@@ -203,7 +202,7 @@
                     .ifPresentOrElse(
                             e -> mEngines.onEntry(e, mayBeOld, now),
                             () -> mEngines.onUnreadable(id));
-        } catch (DecodeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             mEngines.onUnreadable(id);
             onUnreadable(item, e);
         }
@@ -302,7 +301,7 @@
         }
     }
 
-    private void onUnreadable(StoreItem item, DecodeException e) {
+    private void onUnreadable(StoreItem item, Throwable e) {
         mContext.metrics().countEvent("unreadable_entry");
         mContext.log().event("unreadable_entry", "key", item.key(), "cause", e.getMessage());
     }
