Responses: one without an id on a used connection belongs to no request

Cause: an answer without an attempt id counted as the one to the request on its connection, though an earlier request may have been on it.

Fix: on a connection that was used before, an answer without an id ends the attempt as one that may have run. Engines echo the id by the protocol, so sound answers are not concerned. Requests that may run only once have connections of their own.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -24,8 +24,8 @@
  *
  * <p>A request that may run only once gets its own connection, so that it can't be lost when the
  * engine closes an idle connection. Other requests use pooled connections, one request at a time;
- * late or surplus bytes of an earlier response are recognised by the attempt id in the response and
- * fail the attempt.
+ * late or surplus bytes of an earlier response are recognised by the attempt id in the response, or
+ * by its absence on a connection that was used before, and fail the attempt.
  *
  * <p>Invariant: the request is notified exactly once of the end of the attempt, unless the attempt
  * was cancelled. Not thread-safe; used on the node's event loop.
@@ -53,6 +53,7 @@
     private Optional<HttpClientRequest> mEngineRequest = Optional.empty();
     private Optional<EngineInactivityDetector.Stream> mStream = Optional.empty();
     private long mSentNanos;
+    private boolean mReusesConnection;
     private boolean mAnswered;
     private boolean mEnded;
 
@@ -124,6 +125,7 @@
             return;
         }
         mEngineRequest = Optional.of(request);
+        mReusesConnection = mContext.recordUse(request.connection());
         RequestHead.copyHeaders(
                 mProxiedRequest.clientRequest().headers(),
                 request.headers(),
@@ -222,10 +224,8 @@
         }
         response.exceptionHandler(guarded(this::onBroken));
         ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
-        boolean otherRequest =
-                !head.attemptId().isEmpty()
-                        && !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
-        if (otherRequest) {
+        if (mayBelongToOtherRequest(head)) {
+            mContext.node().metrics().countEvent("response_of_other_request");
             onFailure(new IllegalStateException("response belongs to another request"));
             return;
         }
@@ -250,6 +250,13 @@
         }
     }
 
+    /** A response without an id on a used connection may be an earlier one, written once more. */
+    private boolean mayBelongToOtherRequest(ResponseHead head) {
+        return head.attemptId().isEmpty()
+                ? mReusesConnection
+                : !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
+    }
+
     private static boolean isUnverified(ResponseHead head) {
         boolean success = head.status() >= STATUS_OK && head.status() < FIRST_REDIRECT_STATUS;
         return success && (!head.sealed() || head.contentEncoded());
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -1,7 +1,10 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +49,8 @@
     private final Map<String, WindowedRetryBudget> mRetryBudgets = new HashMap<>();
     private final EngineInactivityDetector mInactivityDetector;
     private final Map<EngineInactivityDetector.Stream, Attempt> mStreams = new HashMap<>();
+    private final Set<HttpConnection> mUsedConnections =
+            Collections.newSetFromMap(new IdentityHashMap<>());
     private final CoalescedTask mDispatch;
     private int mOpenRequests;
     private boolean mDraining;
@@ -168,6 +173,18 @@
                 .forEach(Attempt::onSilence);
     }
 
+    /**
+     * Records that a request is sent on a connection to an engine; returns whether another one was
+     * sent on it before.
+     */
+    boolean recordUse(HttpConnection connection) {
+        boolean first = mUsedConnections.add(connection);
+        if (first) {
+            connection.closeHandler(v -> mUsedConnections.remove(connection));
+        }
+        return !first;
+    }
+
     /** Records what an engine says of itself in a response. */
     void onResponseOf(Engine engine, ResponseHead head) {
         mExchange.rates().onResponse(engine, head.requestsPerSecond());
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -103,6 +103,15 @@
         return server;
     }
 
+    /** Registers a server that writes earlier refusals once more. */
+    public RepeatedRefusalServer addRepeatedRefusalServer(String id, String service) {
+        RepeatedRefusalServer server = new RepeatedRefusalServer(mVertx);
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return server;
+    }
+
     /** Registers a server that sends late copies of its responses. */
     public LateCopyServer addLateCopyServer(String id, String service) {
         LateCopyServer server = new LateCopyServer(mVertx);
