Streams: only a stream of events is continued by another engine

Cause: whether a response may be continued followed from the route alone. An error that is longer than the buffer is relayed as it comes; if it broke off on a route whose streams may be resumed, the events of the next engine followed it.

Evidence: ResumedStreamErrorTest.longError_thatBreaksOffIsNotContinuedWithAStream fails before this change and passes with it. The other form, an error of the next engine after a stream that has begun (302, 404, 500, a refusal, a success without a seal), could not be shown: those five pass before and after.

Fix: a response that has begun accepts another engine only if it was started as a stream of events; else it is aborted. The check stands where retries are allowed, so it also covers engines that fall silent and errors with status 5xx.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -280,7 +280,7 @@
 
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
-        if (mProxiedRequest.route().kind() == RouteKind.STREAM && head.status() == STATUS_OK) {
+        if (isEventStream(head.status())) {
             response.handler(guarded(b -> relayEvents(response, b)));
             response.endHandler(guarded(v -> onRelayedEnd(response)));
         } else {
@@ -290,6 +290,10 @@
         }
     }
 
+    private boolean isEventStream(int status) {
+        return mProxiedRequest.route().kind() == RouteKind.STREAM && status == STATUS_OK;
+    }
+
     private void buffer(HttpClientResponse response, Buffer buffered, Buffer data) {
         if (mEnded) {
             return;
@@ -336,7 +340,12 @@
     private void startResponse(HttpClientResponse response) {
         if (!mProxiedRequest.response().hasStarted()) {
             recordFirstByte();
-            mProxiedRequest.response().sendHead(response.statusCode(), response.headers());
+            mProxiedRequest
+                    .response()
+                    .sendHead(
+                            response.statusCode(),
+                            response.headers(),
+                            isEventStream(response.statusCode()));
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -21,6 +21,7 @@
     private final HttpServerRequest mRequest;
     private final HttpServerResponse mResponse;
     private boolean mStarted;
+    private boolean mEventStream;
     private long mStartedNanos;
 
     ClientResponse(RequestContext context, HttpServerRequest request) {
@@ -39,8 +40,14 @@
         mResponse.end(body).onComplete(r -> closeIfDraining());
     }
 
-    /** Sends the head of a streamed response. */
-    void sendHead(int status, MultiMap headers) {
+    /** Returns whether another engine may answer: not within a body that is no stream of events. */
+    boolean acceptsEvents() {
+        return !mStarted || mEventStream;
+    }
+
+    /** Sends the head of a streamed response, which is a stream of events or any other body. */
+    void sendHead(int status, MultiMap headers, boolean eventStream) {
+        mEventStream = eventStream;
         start(status, headers);
         mResponse.setChunked(true);
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -233,8 +233,7 @@
     void onResponseLost(Engine engine, String cause) {
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
-        boolean canContinue = !mResponse.hasStarted() || mRoute.resumable();
-        if (canContinue && tryTakeRetry()) {
+        if (tryTakeRetry()) {
             mExcludedEngines.add(engine.id());
             mEventSplitter.dropPartialEvent();
             onStreamInterrupted();
@@ -265,7 +264,10 @@
     }
 
     private boolean mayRetry() {
-        return mRoute.isRetryable() && mRuns < mRoute.maxAttempts() && hasTimeToRetry();
+        return mRoute.isRetryable()
+                && mResponse.acceptsEvents()
+                && mRuns < mRoute.maxAttempts()
+                && hasTimeToRetry();
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
