Exchange: nodes no longer tell each other when they heard each other

Leases are confirmed by witnesses since, so nothing reads these times any more: the field heard_ms_ago (reserved), PeerTable.lastHeardByClaimantsNanos, and the mention of the receiver itself.

The core tests of the exchange and EntryNodeTest pass (42 tests).

Exceptions that no handler caught are logged and counted as uncaught_exception; until now they were written by the library only.

--- a/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -42,12 +42,7 @@
 
     /** State of one peer; times are by this node's monotonic clock. */
     private record PeerState(
-            Peer peer,
-            long incarnation,
-            long sequence,
-            long heardNanos,
-            Optional<Long> heardSelfNanos,
-            boolean leaving) {}
+            Peer peer, long incarnation, long sequence, long heardNanos, boolean leaving) {}
 
     /**
      * Creates a table that knows only this node.
@@ -82,18 +77,11 @@
      * @param incarnation the sender's incarnation
      * @param sequence the number of the message within that incarnation
      * @param leaving true if the sender is shutting down and accepts no more work
-     * @param heardSelfMillisAgo how long ago the sender last received a message of this node, if
-     *     ever
      * @param now the monotonic time in nanoseconds
      * @return true if the message is newer than all previous ones
      */
     public boolean onMessage(
-            Peer peer,
-            long incarnation,
-            long sequence,
-            boolean leaving,
-            Optional<Long> heardSelfMillisAgo,
-            long now) {
+            Peer peer, long incarnation, long sequence, boolean leaving, long now) {
         PeerState known = mPeers.get(peer.name());
         boolean outdated =
                 known != null
@@ -109,10 +97,7 @@
         } else {
             mClaimants.add(peer);
         }
-        Optional<Long> heardSelf =
-                heardSelfMillisAgo.map(m -> now - Duration.ofMillis(m).toNanos());
-        mPeers.put(
-                peer.name(), new PeerState(peer, incarnation, sequence, now, heardSelf, leaving));
+        mPeers.put(peer.name(), new PeerState(peer, incarnation, sequence, now, leaving));
         return true;
     }
 
@@ -136,29 +121,11 @@
         if (!peer.name().equals(mSelf.name()) && !mPeers.containsKey(peer.name())) {
             long heard = now - mLivenessTimeoutNanos;
             mLastDiscoveryNanos = now;
-            mPeers.put(peer.name(), new PeerState(peer, 0, 0, heard, Optional.empty(), false));
+            mPeers.put(peer.name(), new PeerState(peer, 0, 0, heard, false));
             mClaimants.add(peer);
         }
     }
 
-    /**
-     * Returns the oldest of the times at which each other claimant of an engine last received a
-     * message of this node. Nodes that aren't claimants don't matter, as they never give it orders.
-     *
-     * @param engine the engine's id
-     * @param domain its failure domain
-     * @param now the monotonic time in nanoseconds
-     * @return a monotonic time in nanoseconds; {@code now} if there is no other claimant
-     */
-    public long lastHeardByClaimantsNanos(String engine, String domain, long now) {
-        return claimants(engine, domain).stream()
-                .filter(p -> !p.equals(mSelf))
-                .map(p -> mPeers.get(p.name()))
-                .mapToLong(p -> p.heardSelfNanos().orElse(now - FORGET_AFTER.toNanos()))
-                .min()
-                .orElse(now);
-    }
-
     /**
      * Returns the nodes that may claim an engine, by rank: nodes of its failure domain first, then
      * the others, each group in the order of a rendezvous hash.
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -95,6 +95,7 @@
                         settings,
                         new EventLog(System.out),
                         new GatewayMetrics());
+        vertx.exceptionHandler(this::onUncaughtException);
         ResidencyTable residency = new ResidencyTable();
         Dispatcher dispatcher = new Dispatcher(settings.domain(), residency);
         CrashTraits crashTraits = new CrashTraits();
@@ -108,6 +109,18 @@
                         new MetricsService(mContext));
     }
 
+    private void onUncaughtException(Throwable cause) {
+        StackTraceElement[] trace = cause.getStackTrace();
+        mContext.metrics().countEvent("uncaught_exception");
+        mContext.log()
+                .event(
+                        "uncaught_exception",
+                        "cause",
+                        cause,
+                        "at",
+                        trace.length == 0 ? "" : trace[0]);
+    }
+
     private static HttpClientOptions keepAliveOptions(int idleSeconds) {
         return new HttpClientOptions().setKeepAlive(true).setKeepAliveTimeout(idleSeconds);
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -239,7 +239,6 @@
         byte[] fullState(Optional<Peer> to) {
             NodeNews.Builder message =
                     messageBuilder().setWhole(true).addAllHoldings(mHoldings).mergeFrom(mChanges);
-            to.ifPresent(p -> message.addPeers(mPeerMentions.encode(p, mNow)));
             mMentioned.forEach(
                     (name, seen) -> {
                         if (to.filter(p -> p.name().equals(name)).isEmpty()) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/PeerMentions.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/PeerMentions.java
@@ -56,10 +56,6 @@
         return mSchedule
                 .mentions(heard, starting ? MENTIONED_NODES_AT_START : MENTIONED_NODES)
                 .stream()
-                .collect(Collectors.toMap(Peer::name, p -> encode(p, now)));
-    }
-
-    PeerSeen encode(Peer peer, long now) {
-        return StateMessageCodec.seen(peer, mPeers.heardMillisAgo(peer.name(), now));
+                .collect(Collectors.toMap(Peer::name, StateMessageCodec::seen));
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageCodec.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.AdapterKey;
@@ -90,15 +89,12 @@
                 now + Duration.ofMillis(want.getPatienceMs()).toNanos());
     }
 
-    static PeerSeen seen(Peer peer, Optional<Long> heardMillisAgo) {
-        PeerSeen.Builder seen =
-                PeerSeen.newBuilder()
-                        .setNode(peer.name())
-                        .setDomain(peer.domain())
-                        .setIp(peer.ip());
-        // Offset by one, as 0 means that the node was never heard from.
-        heardMillisAgo.ifPresent(m -> seen.setHeardMsAgo((int) (m + 1)));
-        return seen.build();
+    static PeerSeen seen(Peer peer) {
+        return PeerSeen.newBuilder()
+                .setNode(peer.name())
+                .setDomain(peer.domain())
+                .setIp(peer.ip())
+                .build();
     }
 
     static TraitSuspicion suspicion(CrashSuspicion suspicion, long now) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -71,12 +71,6 @@
         long now = mContext.clock().now();
         String node = message.getNode();
         Peer peer = new Peer(node, message.getDomain(), message.getIp());
-        String self = mContext.settings().node();
-        Optional<Long> heardThisNodeMillisAgo =
-                message.getPeersList().stream()
-                        .filter(p -> p.getNode().equals(self) && p.getHeardMsAgo() > 0)
-                        .map(p -> (long) p.getHeardMsAgo())
-                        .findFirst();
         if (message.getWhole()) {
             boolean fresh =
                     mPeers.onMessage(
@@ -84,7 +78,6 @@
                             message.getIncarnation(),
                             message.getSequence(),
                             message.getLeaving(),
-                            heardThisNodeMillisAgo,
                             now);
             if (!fresh) {
                 return;
