--- a/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
+++ b/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
@@ -16,8 +16,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.fescuehollow.exchange.Peer;
-import org.fescuehollow.exchange.PeerTable;
 
 /**
  * Simulates network partitions and restarts of nodes that compete for one engine, in virtual time.
@@ -25,7 +23,7 @@
  * nodes from giving it orders.
  */
 class EngineLeasePartitionTest {
-    private static final long LEASE_MILLIS = 3_000;
+    static final long LEASE_MILLIS = 3_000;
     private static final long STEP_MILLIS = 50;
     private static final long END_MILLIS = 60_000;
     private static final long SETTLE_MILLIS = 2_000;
@@ -48,63 +46,19 @@
     private static final String ENGINE = "engine";
     private static final String DOMAIN = "d0";
 
-    private static long nanos(long millis) {
+    static long nanos(long millis) {
         return Duration.ofMillis(millis).toNanos();
     }
 
-    /** One node; a restart clears its state. */
-    private static final class Node {
-        private final Peer mSelf;
-        private PeerTable mPeers;
-        private EngineLease mLease;
-        private LeaseWitness mWitness;
-        private LeaseVotes mVotes;
-        private LeaseCandidacy mCandidacy;
-        private long mStarted;
-        private long mDownUntil;
-        private long mSequence;
-        private long mRivalHeard = Long.MIN_VALUE / 2;
-        private int mReports;
-        private int mGroup;
-
-        Node(int i) {
-            mSelf = new Peer("n" + i, "d" + i % 2, "10.0.0." + i);
-            start(0);
-        }
-
-        void start(long t) {
-            mPeers = new PeerTable(mSelf, nanos(t));
-            mLease = new EngineLease(LEASE_MILLIS, nanos(t));
-            mWitness = new LeaseWitness(LEASE_MILLIS, nanos(t));
-            mVotes = new LeaseVotes();
-            mCandidacy = new LeaseCandidacy();
-            mStarted = t;
-            mRivalHeard = Long.MIN_VALUE / 2;
-        }
-
-        String incarnation() {
-            return mSelf.name() + '@' + mStarted;
-        }
-
-        void abandon(long t) {
-            mLease.abandon(nanos(t));
-            mVotes.clear(nanos(t));
-        }
-
-        boolean isUp(long t) {
-            return t >= mDownUntil;
-        }
-    }
-
     /** The nodes, the engine and the injected faults. */
     private static final class Simulation {
         private final Random mRandom;
-        private final List<Node> mNodes = new ArrayList<>();
+        private final List<SimulatedNode> mNodes = new ArrayList<>();
         private final List<String> mSeeds = new ArrayList<>();
         private final TreeMap<Long, Long> mCounts = new TreeMap<>(Map.of(-10_000L, 0L));
-        private final Map<Node, Long> mLastOrderMillis = new HashMap<>();
+        private final Map<SimulatedNode, Long> mLastOrderMillis = new HashMap<>();
         private final Map<Long, List<Runnable>> mDeliveries = new HashMap<>();
-        private final Set<List<Node>> mCutLinks = new HashSet<>();
+        private final Set<List<SimulatedNode>> mCutLinks = new HashSet<>();
         private final Faults mFaults;
         private final long mLag;
         private boolean mCountFrozen;
@@ -115,7 +69,7 @@
             mRandom = new Random(seed);
             mLag = lag;
             for (int i = 0; i < nodes; i++) {
-                mNodes.add(new Node(i));
+                mNodes.add(new SimulatedNode(i));
                 mSeeds.add("10.0.0." + i);
             }
         }
@@ -124,7 +78,7 @@
             for (long t = 0; t < END_MILLIS; t += STEP_MILLIS) {
                 mFaults.inject(this, t);
                 Optional.ofNullable(mDeliveries.remove(t)).orElse(List.of()).forEach(Runnable::run);
-                for (Node n : mNodes) {
+                for (SimulatedNode n : mNodes) {
                     if (n.isUp(t)) {
                         step(n, t);
                     }
@@ -132,7 +86,7 @@
             }
         }
 
-        private List<Node> witnesses() {
+        private List<SimulatedNode> witnesses() {
             return mNodes.subList(0, Math.min(MAX_WITNESSES, mNodes.size()));
         }
 
@@ -140,12 +94,12 @@
             return witnesses().stream().map(w -> w.mSelf.name()).toList();
         }
 
-        private boolean canReach(Node from, Node to, long t) {
+        private boolean canReach(SimulatedNode from, SimulatedNode to, long t) {
             return to.isUp(t) && from.mGroup == to.mGroup && !mCutLinks.contains(List.of(from, to));
         }
 
         /** Delivers a message late, unless it is lost, cut off, or its receiver restarts. */
-        private void deliver(Node from, Node to, long t, LongConsumer action) {
+        private void deliver(SimulatedNode from, SimulatedNode to, long t, LongConsumer action) {
             if (from == to) {
                 action.accept(t);
                 return;
@@ -165,8 +119,8 @@
                             });
         }
 
-        private void askWitnesses(Node n, long t) {
-            for (Node w : witnesses()) {
+        private void askWitnesses(SimulatedNode n, long t) {
+            for (SimulatedNode w : witnesses()) {
                 deliver(
                         n,
                         w,
@@ -188,7 +142,7 @@
             }
         }
 
-        private void withdraw(Node n, long t) {
+        private void withdraw(SimulatedNode n, long t) {
             n.mVotes.clear(nanos(t));
             String node = n.incarnation();
             witnesses()
@@ -217,7 +171,7 @@
                 mHealedMillis = t;
             }
             boolean restartAll = mRandom.nextInt(30) == 0;
-            for (Node n : mNodes) {
+            for (SimulatedNode n : mNodes) {
                 if (n.isUp(t) && (restartAll || mRandom.nextInt(40) == 0)) {
                     n.mDownUntil = t + 650 + STEP_MILLIS * mRandom.nextInt(30);
                     n.start(n.mDownUntil);
@@ -234,8 +188,8 @@
             if (mRandom.nextInt(4) == 0) {
                 mCutLinks.clear();
                 int shareOfTen = mRandom.nextInt(8);
-                for (Node a : mNodes) {
-                    for (Node b : mNodes) {
+                for (SimulatedNode a : mNodes) {
+                    for (SimulatedNode b : mNodes) {
                         if (a != b && mRandom.nextInt(10) < shareOfTen) {
                             mCutLinks.add(List.of(a, b));
                         }
@@ -244,8 +198,8 @@
                 mHealedMillis = t;
             }
             boolean rolling = t / 8_000 % 2 == 1;
-            Node next = mNodes.get((int) (t / 1_000 % mNodes.size()));
-            for (Node n : mNodes) {
+            SimulatedNode next = mNodes.get((int) (t / 1_000 % mNodes.size()));
+            for (SimulatedNode n : mNodes) {
                 boolean stops = rolling ? n == next && t % 1_000 == 0 : mRandom.nextInt(60) == 0;
                 if (n.isUp(t) && stops) {
                     stop(n, t);
@@ -254,12 +208,12 @@
         }
 
         /** Stops a node that says so to those that it reaches, and starts it again. */
-        private void stop(Node n, long t) {
+        private void stop(SimulatedNode n, long t) {
             n.abandon(t);
             String node = n.incarnation();
             long sequence = ++n.mSequence;
             long incarnation = 1 + n.mStarted;
-            for (Node o : mNodes) {
+            for (SimulatedNode o : mNodes) {
                 if (o != n && canReach(n, o, t)) {
                     o.mPeers.onMessage(n.mSelf, incarnation, sequence, true, nanos(t));
                     o.mWitness.onReleased(node, nanos(t));
@@ -273,7 +227,7 @@
             n.start(n.mDownUntil);
         }
 
-        private void step(Node n, long t) {
+        private void step(SimulatedNode n, long t) {
             if (t % 200 == 0) {
                 mNodes.stream()
                         .filter(o -> o != n && canReach(n, o, t))
@@ -293,7 +247,7 @@
             }
         }
 
-        private void sendMessage(Node from, Node to, long t) {
+        private void sendMessage(SimulatedNode from, SimulatedNode to, long t) {
             long now = nanos(t);
             long sequence = ++from.mSequence;
             to.mPeers.onMessage(from.mSelf, 1 + from.mStarted, sequence, false, now);
@@ -311,7 +265,7 @@
             }
         }
 
-        private void observe(Node n, long t) {
+        private void observe(SimulatedNode n, long t) {
             long now = nanos(t);
             if (t % 400 == 0) {
                 n.mLease.onOrderCount(mCounts.floorEntry(t - mLag).getValue(), now);
@@ -335,7 +289,7 @@
         }
 
         /** Verifies with the second report after a conflict, as the first may be older than it. */
-        private void verifyOrderCount(Node n, long t) {
+        private void verifyOrderCount(SimulatedNode n, long t) {
             n.mReports = n.mLease.needsOrderCount() ? n.mReports : 0;
             if (n.mLease.needsOrderCount() && t % 400 == 0 && ++n.mReports > 1) {
                 n.mLease.onOrderCountVerified(mCounts.floorEntry(t - mLag).getValue(), nanos(t));
@@ -343,11 +297,12 @@
             }
         }
 
-        private static boolean isSafelyOrdered(Node n, long t, Node other, long at) {
+        private static boolean isSafelyOrdered(
+                SimulatedNode n, long t, SimulatedNode other, long at) {
             return n == other || t - at >= LEASE_MILLIS;
         }
 
-        private void sendOrder(Node n, long t) {
+        private void sendOrder(SimulatedNode n, long t) {
             long now = nanos(t);
             verifyOrderCount(n, t);
             long votes = n.mVotes.majorityNanos(witnessNames());
