Leases: an engine counts as new only for a VM that has run for long

No caller saw this; found while writing down why no two VMs order within the lease. A VM claims an engine that never had an order after 0.9 s. To a VM that just started, or saw the engine before, one that restarted looks the same, as its count begins at 0 again; a holder that is cut off and keeps its lease by the count might still order then.

--- a/core/src/main/java/org/fescuehollow/catalog/BoundedMap.java
+++ b/core/src/main/java/org/fescuehollow/catalog/BoundedMap.java
@@ -11,12 +11,17 @@
  * @param <K> the keys' type
  * @param <V> the values' type
  */
-final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+public final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
     private static final long serialVersionUID = 1L;
 
     private final int mMaxEntries;
 
-    BoundedMap(int maxEntries) {
+    /**
+     * Creates an empty map.
+     *
+     * @param maxEntries the number of entries from which on the oldest is dropped
+     */
+    public BoundedMap(int maxEntries) {
         mMaxEntries = maxEntries;
     }
 
--- a/core/src/main/java/org/fescuehollow/residency/EngineLease.java
+++ b/core/src/main/java/org/fescuehollow/residency/EngineLease.java
@@ -124,6 +124,15 @@
         mOrderCount = count;
     }
 
+    /**
+     * Handles that the engine may have received orders before this node saw it: its count may be
+     * low only because it restarted. It can't be claimed early.
+     */
+    public void onMayBeKnown() {
+        mFirstObservation = false;
+        mNeverOrdered = false;
+    }
+
     /**
      * Handles a message of another node that holds the engine.
      *
--- a/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
+++ b/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
@@ -179,7 +179,7 @@
             }
         }
 
-        /** Cuts single directions of links, and stops and starts nodes in turn or at random. */
+        /** Cuts single directions of links, and stops and starts nodes and the engine. */
         private void injectCutsStopsAndStarts(long t) {
             if (t % 500 != 0 || t < 8_000) {
                 return;
@@ -197,6 +197,12 @@
                 }
                 mHealedMillis = t;
             }
+            if (mRandom.nextInt(40) == 0) {
+                mCounts.put(t, 0L);
+                mNodes.stream()
+                        .filter(n -> n.isUp(t))
+                        .forEach(n -> n.mLease.onEngineRestarted(nanos(t)));
+            }
             boolean rolling = t / 8_000 % 2 == 1;
             SimulatedNode next = mNodes.get((int) (t / 1_000 % mNodes.size()));
             for (SimulatedNode n : mNodes) {
--- a/core/src/test/java/org/fescuehollow/residency/EngineLeaseTest.java
+++ b/core/src/test/java/org/fescuehollow/residency/EngineLeaseTest.java
@@ -82,6 +82,16 @@
         then(lease.mayClaim(1, millis(1_000))).isFalse();
     }
 
+    /** Guards against a node that just started and takes a restarted engine for a new one. */
+    @Test
+    void onMayBeKnown_waitsAsAfterAnOrder() {
+        EngineLease lease = new EngineLease(LEASE_MILLIS, 0);
+        lease.onMayBeKnown();
+        observeOrderCount(lease, 0, 0, 4_000);
+        then(lease.mayClaim(0, millis(4_000))).isFalse();
+        then(lease.mayClaim(0, millis(4_050))).isTrue();
+    }
+
     @Test
     void mayClaim_ignoresObservationsFromBeforeAPause() {
         // GIVEN a node that observed an engine without orders and was then paused
--- a/core/src/test/java/org/fescuehollow/residency/SimulatedNode.java
+++ b/core/src/test/java/org/fescuehollow/residency/SimulatedNode.java
@@ -31,6 +31,7 @@
         mLease =
                 new EngineLease(
                         EngineLeasePartitionTest.LEASE_MILLIS, EngineLeasePartitionTest.nanos(t));
+        mLease.onMayBeKnown();
         mWitness =
                 new LeaseWitness(
                         EngineLeasePartitionTest.LEASE_MILLIS, EngineLeasePartitionTest.nanos(t));
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
@@ -78,6 +78,9 @@
         mApplicant = new LeaseApplicant(context, service, engine.id());
         mFence = new FencingNumberGenerator(context.settings().node());
         mLease = new EngineLease(context.settings().leaseMillis(), context.clock().now());
+        if (service.mayHaveBeenHeld(engine.id(), context.clock().now())) {
+            mLease.onMayBeKnown();
+        }
     }
 
     void tick(Engine engine, long now) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/LeaseApplicant.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/LeaseApplicant.java
@@ -25,7 +25,7 @@
     void tick(boolean mayClaim, int rank, long now) {
         if (mCandidacy.next(mayClaim, rank, now) == LeaseCandidacy.Step.WITHDRAW) {
             mVotes.clear(now);
-            mService.withdrawLease(mEngine);
+            mService.leases().withdraw(mEngine, mService);
             mContext.metrics().countEvent("lease_withdrawn");
             mContext.log().event("lease_withdrawn", "engine", mEngine, "may_claim", mayClaim);
         }
@@ -41,7 +41,7 @@
 
     /** Returns the newest time from which a majority of the witnesses has granted the lease. */
     long majorityNanos() {
-        return mVotes.majorityNanos(mService.witnesses());
+        return mVotes.majorityNanos(mService.leases().witnesses());
     }
 
     void onClaimed() {
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -2,23 +2,25 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.BoundedMap;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.EngineSpec;
 import org.fescuehollow.catalog.ServiceSpec;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.gateway.exchange.ExchangeService;
+import org.fescuehollow.gateway.exchange.LeaseExchange;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.kernel.Kernel;
 import org.fescuehollow.kernel.Service;
 import org.fescuehollow.platform.EngineClient;
 import org.fescuehollow.residency.AdapterDemand;
+import org.fescuehollow.residency.EngineLease;
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.LoadConcurrencyLimit;
 import org.fescuehollow.residency.ResidencyTable;
@@ -48,6 +50,8 @@
      */
     private static final int LOCAL_COPY_SPEEDUP = 10;
 
+    private static final int MAX_SEEN_ENGINES = 16_384;
+
     /** The lease of a holder is extended in each period of this many ticks. */
     private static final int TICKS_PER_LEASE_REQUEST = 2;
 
@@ -59,6 +63,7 @@
     private final ResidencyTable mResidency;
     private final Map<String, EngineController> mControllers = new HashMap<>();
     private final Map<String, Long> mDemandSentNanos = new HashMap<>();
+    private final Map<String, Long> mSeenEngines = new BoundedMap<>(MAX_SEEN_ENGINES);
     private final EngineClient mEngineClient;
     private final LoadConcurrencyLimit mLoadLimit = new LoadConcurrencyLimit();
     private ExchangeService mExchange;
@@ -162,7 +167,7 @@
                         fences.put(id, c.highestFence());
                     }
                 });
-        exchange().leases().request(fences, this);
+        leases().request(fences, this);
     }
 
     /**
@@ -178,14 +183,8 @@
                 .ifPresent(c -> c.onLeaseGranted(witness, askedNanos, fence));
     }
 
-    /** Returns the IP addresses of the witnesses. */
-    List<String> witnesses() {
-        return exchange().leases().witnesses();
-    }
-
-    /** Tells the witnesses that this node has not used the lease on an engine. */
-    void withdrawLease(String engine) {
-        exchange().leases().withdraw(engine, this);
+    LeaseExchange leases() {
+        return exchange().leases();
     }
 
     /** An exception for one engine must not keep the others from being checked. */
@@ -264,6 +263,13 @@
                 >= BASE_SETTLE_NANOS + exchange().greetingDuration().toNanos() * SETTLE_GREETINGS;
     }
 
+    /** Records an engine; returns whether it may have been held before this node saw it. */
+    boolean mayHaveBeenHeld(String engine, long now) {
+        boolean seen = mSeenEngines.put(engine, now) != null;
+        long exclusiveNanos = EngineLease.exclusiveNanos(mContext.settings().leaseMillis());
+        return seen || now - mStartedNanos < exclusiveNanos;
+    }
+
     /** Returns whether one more load may start. */
     boolean mayLoad(String engine, AdapterKey adapter, long now) {
         return mResidency.wasRecentlyLoaded(engine, adapter)
