Leases: a claimant's fencing number is above all that the witnesses know

A new holder made its number from the time and from what it had heard of others.

A claimant now names its number when it asks, and a grant counts only if the witness knows no higher one; a majority shares a witness with that of the holder before.

A response that is complete is no longer cut off if its bookkeeping throws afterwards.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -94,9 +94,11 @@
         mResponse.end().onComplete(r -> closeIfDraining());
     }
 
-    /** Aborts a response that was started and can't be completed. */
+    /** Aborts a response that was started and can't be completed; a complete one is left alone. */
     void abort() {
-        mRequest.connection().close();
+        if (!mResponse.ended()) {
+            mRequest.connection().close();
+        }
     }
 
     /** Sends an error response of the gateway. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
@@ -75,8 +75,8 @@
         mSpec = spec;
         mService = service;
         mLog = new OrderLog(context);
-        mApplicant = new LeaseApplicant(context, service, engine.id());
         mFence = new FencingNumberGenerator(context.settings().node());
+        mApplicant = new LeaseApplicant(context, service, engine.id(), mFence);
         mLease = new EngineLease(context.settings().leaseMillis(), context.clock().now());
         if (service.mayHaveBeenHeld(engine.id(), context.clock().now())) {
             mLease.onMayBeKnown();
@@ -158,8 +158,7 @@
         if (rival.isPresent()) {
             mLease.onRivalHeard(now);
         }
-        boolean isClaimant = mPeers.mayClaim(mEngine.id(), mEngine.domain());
-        if (rival.isPresent() || !isClaimant) {
+        if (rival.isPresent() || !mPeers.mayClaim(mEngine.id(), mEngine.domain())) {
             mApplicant.tick(false, rank(), now);
             return;
         }
@@ -187,17 +186,19 @@
         return !mLease.isHeld() && mApplicant.isAsking();
     }
 
-    long highestFence() {
-        return mFence.highest();
+    /** Returns the fencing number to ask the witnesses with. */
+    long fence() {
+        return mLease.isHeld() ? mFence.highest() : mApplicant.fence();
     }
 
     void onLeaseGranted(String witness, long askedNanos, long fence) {
         long now = mContext.clock().now();
-        mApplicant.onGranted(witness, askedNanos);
-        if (!isAsking()) {
+        if (mLease.isHeld()) {
+            mApplicant.onExtended(witness, askedNanos);
+        }
+        if (!isAsking() || !mApplicant.onGranted(witness, askedNanos, fence)) {
             return;
         }
-        mFence.observe(fence);
         long votes = mApplicant.majorityNanos();
         if (now - votes <= mLease.maxVoteAgeNanos() && mayClaim(now)) {
             claim(rank(), now);
@@ -224,7 +225,7 @@
         mApplicant.onClaimed();
         mLease.claim(now);
         mScheduler = Optional.of(SchedulerFactory.create(mSpec, mEngine.id(), state));
-        long fence = mFence.next(System.currentTimeMillis());
+        long fence = mFence.highest();
         mLog.logClaimed(mEngine.id(), rank, state.orderCount(), fence);
         mService.onHoldingChanged(mEngine.id(), holding().orElseThrow());
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/LeaseApplicant.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/LeaseApplicant.java
@@ -1,6 +1,8 @@
 package org.fescuehollow.gateway.orders;
 
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.residency.FenceProposal;
+import org.fescuehollow.residency.FencingNumberGenerator;
 import org.fescuehollow.residency.LeaseCandidacy;
 import org.fescuehollow.residency.LeaseVotes;
 
@@ -14,8 +16,14 @@
     private final String mEngine;
     private final LeaseVotes mVotes = new LeaseVotes();
     private final LeaseCandidacy mCandidacy = new LeaseCandidacy();
+    private final FenceProposal mFence;
 
-    LeaseApplicant(NodeContext context, OrderService service, String engine) {
+    LeaseApplicant(
+            NodeContext context,
+            OrderService service,
+            String engine,
+            FencingNumberGenerator fence) {
+        mFence = new FenceProposal(fence);
         mContext = context;
         mService = service;
         mEngine = engine;
@@ -35,10 +43,25 @@
         return mCandidacy.isAsking();
     }
 
-    void onGranted(String witness, long askedNanos) {
+    /** Returns the fencing number to ask with. */
+    long fence() {
+        return mFence.propose(System.currentTimeMillis());
+    }
+
+    /** Handles a grant while this node holds the lease. */
+    void onExtended(String witness, long askedNanos) {
         mVotes.onGranted(witness, askedNanos);
     }
 
+    /** Handles a grant while this node asks; returns false if the witness knows a higher fence. */
+    boolean onGranted(String witness, long askedNanos, long fence) {
+        boolean counts = mFence.accepts(fence);
+        if (counts) {
+            mVotes.onGranted(witness, askedNanos);
+        }
+        return counts;
+    }
+
     /** Returns the newest time from which a majority of the witnesses has granted the lease. */
     long majorityNanos() {
         return mVotes.majorityNanos(mService.leases().witnesses());
@@ -49,6 +72,7 @@
     }
 
     void onLost(long now) {
+        mFence.clear();
         mVotes.clear(now);
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderService.java
@@ -164,7 +164,7 @@
         mControllers.forEach(
                 (id, c) -> {
                     if (c.isAsking() || extendsLeases && c.isHolding()) {
-                        fences.put(id, c.highestFence());
+                        fences.put(id, c.fence());
                     }
                 });
         leases().request(fences, this);
