Partition test: answers reach only the life of a node that asked, and fewer orders go unchecked

An answer that arrived after a restart counted for the new life, which can't happen, and each change of cuts left 300 ms unchecked, though the platform allows that only after a link has healed.

--- a/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
+++ b/core/src/test/java/org/fescuehollow/residency/EngineLeasePartitionTest.java
@@ -120,6 +120,7 @@
         }
 
         private void askWitnesses(SimulatedNode n, long t) {
+            String node = n.incarnation();
             for (SimulatedNode w : witnesses()) {
                 deliver(
                         n,
@@ -128,20 +129,23 @@
                         at -> {
                             boolean granted =
                                     w.mWitness
-                                            .request(
-                                                    ENGINE, n.incarnation(), nanos(t), 0, nanos(at))
+                                            .request(ENGINE, node, nanos(t), 0, nanos(at))
                                             .isPresent();
                             if (granted) {
-                                deliver(
-                                        w,
-                                        n,
-                                        at,
-                                        then -> n.mVotes.onGranted(w.mSelf.name(), nanos(t)));
+                                deliver(w, n, at, later -> onGranted(n, node, w, t));
                             }
                         });
             }
         }
 
+        /** An answer to an earlier life of a node is ignored. */
+        private static void onGranted(
+                SimulatedNode n, String node, SimulatedNode witness, long asked) {
+            if (n.incarnation().equals(node)) {
+                n.mVotes.onGranted(witness.mSelf.name(), nanos(asked));
+            }
+        }
+
         private void withdraw(SimulatedNode n, long t) {
             n.mVotes.clear(nanos(t));
             String node = n.incarnation();
@@ -179,6 +183,19 @@
             }
         }
 
+        private void cutLinks(int shareOfTen, long t) {
+            Set<List<SimulatedNode>> before = Set.copyOf(mCutLinks);
+            mCutLinks.clear();
+            for (SimulatedNode a : mNodes) {
+                for (SimulatedNode b : mNodes) {
+                    if (a != b && mRandom.nextInt(10) < shareOfTen) {
+                        mCutLinks.add(List.of(a, b));
+                    }
+                }
+            }
+            mHealedMillis = mCutLinks.containsAll(before) ? mHealedMillis : t;
+        }
+
         /** Cuts single directions of links, and stops and starts nodes and the engine. */
         private void injectCutsStopsAndStarts(long t) {
             if (t % 500 != 0 || t < 8_000) {
@@ -186,16 +203,7 @@
             }
             mCountFrozen = mRandom.nextInt(3) > 0;
             if (mRandom.nextInt(4) == 0) {
-                mCutLinks.clear();
-                int shareOfTen = mRandom.nextInt(8);
-                for (SimulatedNode a : mNodes) {
-                    for (SimulatedNode b : mNodes) {
-                        if (a != b && mRandom.nextInt(10) < shareOfTen) {
-                            mCutLinks.add(List.of(a, b));
-                        }
-                    }
-                }
-                mHealedMillis = t;
+                cutLinks(mRandom.nextInt(8), t);
             }
             if (mRandom.nextInt(40) == 0) {
                 mCounts.put(t, 0L);
