--- a/core/src/main/java/org/fescuehollow/residency/EngineLease.java
+++ b/core/src/main/java/org/fescuehollow/residency/EngineLease.java
@@ -191,16 +191,16 @@
     /**
      * Returns whether an order may be given now. Abandons the lease if it has expired.
      *
-     * @param heardNanos the monotonic time at which this node asked for the newest grant of a
+     * @param grantedNanos the monotonic time at which this node asked for the newest grant of a
      *     majority of the witnesses
      * @param now the monotonic time in nanoseconds
      * @return true if an order may be sent at once
      */
-    public boolean mayOrder(long heardNanos, long now) {
-        if (heardNanos > mClaimedNanos) {
+    public boolean mayOrder(long grantedNanos, long now) {
+        if (grantedNanos > mClaimedNanos) {
             // A grant from before the claim has been counted by the claim.
-            mConfirmedNanos = Math.max(mConfirmedNanos, heardNanos);
-            mVisibleNanos = Math.max(mVisibleNanos, heardNanos);
+            mConfirmedNanos = Math.max(mConfirmedNanos, grantedNanos);
+            mVisibleNanos = Math.max(mVisibleNanos, grantedNanos);
         }
         if (mHeld && now - mConfirmedNanos > mLeaseNanos) {
             abandon(now);
--- a/core/src/main/java/org/fescuehollow/residency/LeaseWitness.java
+++ b/core/src/main/java/org/fescuehollow/residency/LeaseWitness.java
@@ -76,7 +76,8 @@
     }
 
     /**
-     * Handles a node's word that it asked for a lease in vain and has not used it.
+     * Handles the message of a node that it was not granted a lease by a majority and did not use
+     * it.
      *
      * @param engine the engine's id
      * @param node the node's name and incarnation
@@ -93,8 +94,8 @@
     }
 
     /**
-     * Handles a node's word that it gives no more orders to any engine. Others have to wait for the
-     * lease duration only.
+     * Handles the message of a node that it gives no more orders to any engine. Others have to wait
+     * for the lease duration only.
      *
      * @param node the node's name and incarnation
      * @param now the monotonic time in nanoseconds
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/LeaseExchange.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/LeaseExchange.java
@@ -86,7 +86,7 @@
     }
 
     /**
-     * Tells all witnesses that this node asked for the lease of an engine in vain.
+     * Tells all witnesses that this node does not use the lease of an engine that it asked for.
      *
      * @param engine the engine's id
      * @param orders receives no grants
@@ -174,7 +174,7 @@
         granted.forEach((engine, fence) -> orders.onLeaseGranted(engine, witness, asked, fence));
     }
 
-    /** Handles the word of a node that it leaves and gives no more orders. */
+    /** Handles the message of a node that it leaves and gives no more orders. */
     void onLeaving(String node, long incarnation) {
         mWitness.onReleased(owner(node, incarnation), mContext.clock().now());
     }
