Streams: log and count events without an id, with the framing of their stream

No logic changes: the line event_without_id names the request, the engine, the framing of its answer and the last id before the event; the counter of events has the kind event_without_id.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -317,7 +317,11 @@
     }
 
     private void relayEvents(HttpClientResponse response, Buffer data) {
+        int withoutId = mProxiedRequest.eventSplitter().eventsWithoutId();
         relay(response, mProxiedRequest.eventSplitter().feed(data));
+        if (mProxiedRequest.eventSplitter().eventsWithoutId() > withoutId) {
+            EventStreamLog.logEventWithoutId(mContext.node(), mProxiedRequest, mEngine, response);
+        }
         if (mProxiedRequest.eventSplitter().isPartialEventTooLong()) {
             onFailure(new IllegalStateException("event exceeds the maximum size"));
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/SseEventSplitter.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/SseEventSplitter.java
@@ -20,6 +20,7 @@
 
     private Buffer mPending = Buffer.buffer();
     private String mLastEventId = "";
+    private int mEventsWithoutId;
 
     /** Adds bytes and returns the events that they complete. */
     Buffer feed(Buffer data) {
@@ -49,11 +50,23 @@
     }
 
     private void recordLastEventId(Buffer events) {
-        for (String line : events.toString().split("\r?\n")) {
+        boolean hasId = false;
+        for (String line : events.toString().split("\r?\n", -1)) {
             if (line.startsWith(ID_FIELD)) {
                 mLastEventId = line.substring(ID_FIELD.length()).trim();
+                hasId = !mLastEventId.isEmpty();
+            } else if (line.isEmpty()) {
+                mEventsWithoutId += hasId ? 0 : 1;
+                hasId = false;
             }
         }
+        // The text after the last empty line is empty itself.
+        mEventsWithoutId--;
+    }
+
+    /** Returns how many events without an id were passed on. */
+    int eventsWithoutId() {
+        return mEventsWithoutId;
     }
 
     /** Discards the bytes of an incomplete event. */
