--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -103,6 +103,20 @@
         return server;
     }
 
+    /** Registers a server that sends the bytes of a script and closes with FIN. */
+    public ScriptedServer addScriptedServer(String id, String service) {
+        return addScriptedServer(id, service, false);
+    }
+
+    /** Registers a server that sends the bytes of a script; it closes with RST if asked to. */
+    public ScriptedServer addScriptedServer(String id, String service, boolean resetsOnClose) {
+        ScriptedServer server = new ScriptedServer(mVertx, resetsOnClose);
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return server;
+    }
+
     /** Registers a server that writes earlier refusals once more. */
     public RepeatedRefusalServer addRepeatedRefusalServer(String id, String service) {
         RepeatedRefusalServer server = new RepeatedRefusalServer(mVertx);
@@ -244,6 +258,20 @@
         return send(0, mListenPort, withModel(request, "m"), path);
     }
 
+    /** Sends a request for the base model to the first node and reads its response to the end. */
+    public StreamedResponse stream(String path, String id, String... headers) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(uri(0, mListenPort, path))
+                        .timeout(TIMEOUT)
+                        .header("X-Fescuehollow-Attempt-Id", id)
+                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return StreamedResponse.read(mClient, withModel(request, "m").build());
+    }
+
     /** Sends a request with the given id to a node and returns its response. */
     public HttpResponse<String> call(int node, String path, String id, String body) {
         HttpRequest.Builder request =
@@ -286,9 +314,9 @@
 
     private HttpResponse<String> send(
             int node, int port, HttpRequest.Builder request, String path) {
-        URI uri = URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
+        HttpRequest sent = request.uri(uri(node, port, path)).build();
         try {
-            return mClient.sendAsync(request.uri(uri).build(), HttpResponse.BodyHandlers.ofString())
+            return mClient.sendAsync(sent, HttpResponse.BodyHandlers.ofString())
                     .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
         } catch (ExecutionException e) {
             throw new IllegalStateException(e.getCause());
@@ -300,6 +328,10 @@
         }
     }
 
+    private static URI uri(int node, int port, String path) {
+        return URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
+    }
+
     /** Waits until a condition holds, and fails if it does not within the timeout. */
     public static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + TIMEOUT.toNanos();
