Streams: only sound events of a run reach the client

Cause: whatever ended with an empty line was relayed as an event. The head of a second answer behind a stream that ends with its connection, or any text between two events in any framing, passed for one; ids were kept for resuming only and never compared. A stream without any event, or one that an engine started again instead of resuming it, passed as well.

Fix: one component, EventStreamReader in core, decides what an event is (fields only, an id, data, text), which event comes next (ids increase, across engines and after a client's Last-Event-Id, and none is skipped once they count up by one) and when a stream is whole. The line event_rejected replaces event_without_id.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -18,6 +18,8 @@
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
+import org.fescuehollow.streams.EventDefect;
+import org.fescuehollow.streams.EventStreamReader;
 
 /**
  * One attempt to run a request at one engine.
@@ -45,7 +47,6 @@
 
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int STATUS_OK = 200;
-    private static final int FIRST_REDIRECT_STATUS = 300;
 
     private final RequestContext mContext;
     private final ProxiedRequest mProxiedRequest;
@@ -132,9 +133,9 @@
                 mEngine.id(),
                 mProxiedRequest.remainingMillis(),
                 Math.min(9, mProxiedRequest.route().rank()));
-        if (!mProxiedRequest.eventSplitter().lastEventId().isEmpty()) {
-            RequestHead.setLastEventId(
-                    request.headers(), mProxiedRequest.eventSplitter().lastEventId());
+        mProxiedRequest.events().resume();
+        if (!mProxiedRequest.events().lastEventId().isEmpty()) {
+            RequestHead.setLastEventId(request.headers(), mProxiedRequest.events().lastEventId());
         }
         mSentNanos = mContext.now();
         request.exceptionHandler(guarded(this::onBroken));
@@ -234,7 +235,7 @@
         }
         if (head.notExecuted()) {
             onRefused(head);
-        } else if (isUnverified(head)) {
+        } else if (head.isUnverified()) {
             onFailure(new IllegalStateException("response without a valid seal of its server"));
         } else if (head.status() >= FIRST_SERVER_ERROR_STATUS && mProxiedRequest.tryTakeRetry()) {
             markEnded();
@@ -257,11 +258,6 @@
                 : !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
     }
 
-    private static boolean isUnverified(ResponseHead head) {
-        boolean success = head.status() >= STATUS_OK && head.status() < FIRST_REDIRECT_STATUS;
-        return success && (!head.sealed() || head.contentEncoded());
-    }
-
     private void onRefused(ResponseHead head) {
         markEnded();
         closeConnection();
@@ -317,14 +313,14 @@
     }
 
     private void relayEvents(HttpClientResponse response, Buffer data) {
-        int withoutId = mProxiedRequest.eventSplitter().eventsWithoutId();
-        relay(response, mProxiedRequest.eventSplitter().feed(data));
-        if (mProxiedRequest.eventSplitter().eventsWithoutId() > withoutId) {
-            EventStreamLog.logEventWithoutId(mContext.node(), mProxiedRequest, mEngine, response);
-        }
-        if (mProxiedRequest.eventSplitter().isPartialEventTooLong()) {
-            onFailure(new IllegalStateException("event exceeds the maximum size"));
-        }
+        EventStreamReader events = mProxiedRequest.events();
+        relay(response, Buffer.buffer(events.feed(data.getBytes())));
+        events.defect().filter(d -> !mEnded).ifPresent(d -> onDefect(response, d));
+    }
+
+    private void onDefect(HttpClientResponse response, EventDefect defect) {
+        EventStreamLog.logDefect(mContext.node(), mProxiedRequest, mEngine, response, defect);
+        onFailure(new IllegalStateException("no sound event: " + defect.text()));
     }
 
     private void relay(HttpClientResponse response, Buffer data) {
@@ -357,8 +353,8 @@
         if (mEnded) {
             return;
         }
-        if (mProxiedRequest.eventSplitter().hasPartialEvent()) {
-            onFailure(new IllegalStateException("stream ended within an event"));
+        if (isEventStream(response.statusCode()) && !isWholeStream(response)) {
+            onFailure(new IllegalStateException("stream ended before it was whole"));
             return;
         }
         markEnded();
@@ -368,6 +364,10 @@
         mProxiedRequest.onDelivered(mEngine, response.statusCode());
     }
 
+    private boolean isWholeStream(HttpClientResponse response) {
+        return mProxiedRequest.events().isWhole(ResponseHead.framing(response.headers()));
+    }
+
     private void sendBuffered(HttpClientResponse response, Buffer body) {
         if (!markEnded()) {
             return;
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import org.fescuehollow.dispatch.Placement;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.platform.RequestHead;
+import org.fescuehollow.streams.EventStreamReader;
 
 /**
  * One client request, from its arrival to the end of its response.
@@ -34,7 +35,7 @@
     private final RequestTraits mTraits;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
-    private final SseEventSplitter mEventSplitter = new SseEventSplitter();
+    private final EventStreamReader mEvents;
     private final Set<String> mExcludedEngines = new HashSet<>();
     private Optional<Attempt> mAttempt = Optional.empty();
     private boolean mMayHaveRun;
@@ -60,6 +61,7 @@
         mDispatchRequest = dispatchRequest;
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
+        mEvents = new EventStreamReader(head.lastEventId());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> onException());
     }
@@ -84,8 +86,8 @@
         return mResponse;
     }
 
-    SseEventSplitter eventSplitter() {
-        return mEventSplitter;
+    EventStreamReader events() {
+        return mEvents;
     }
 
     boolean isDone() {
@@ -235,7 +237,6 @@
         mMayHaveRun = true;
         if (tryTakeRetry()) {
             mExcludedEngines.add(engine.id());
-            mEventSplitter.dropPartialEvent();
             onStreamInterrupted();
             placeOrWait();
         } else {
@@ -275,7 +276,6 @@
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         mExcludedEngines.add(engine.id());
-        mEventSplitter.dropPartialEvent();
         onStreamInterrupted();
         placeOrWait();
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/SpoiledStreamTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/SpoiledStreamTest.java
@@ -52,6 +52,10 @@
             };
         }
 
+        Ending ending() {
+            return this == CONNECTION_END ? Ending.CLOSE : Ending.KEEP_OPEN;
+        }
+
         private static String chunk(String part) {
             return Integer.toHexString(part.length()) + "\r\n" + part + "\r\n";
         }
@@ -117,7 +121,7 @@
                 List.of(
                         mCluster.addScriptedServer("i-1", "llm"),
                         mCluster.addScriptedServer("i-2", "llm"));
-        mEngines.forEach(e -> e.onRequest(r -> sound(Framing.CHUNKS, r)));
+        mEngines.forEach(e -> e.onRequest(SpoiledStreamTest::sound));
         mCluster.configure(1);
         mCluster.startNodes(1);
         TestCluster.await(() -> mCluster.stream("/chat/", "warm").complete());
@@ -128,10 +132,14 @@
         mCluster.close();
     }
 
+    private static Answer sound(ScriptedServer.Request request) {
+        return sound(Framing.CHUNKS, request);
+    }
+
     private static Answer sound(Framing framing, ScriptedServer.Request request) {
         int last = request.lastEventId().isEmpty() ? 0 : Integer.parseInt(request.lastEventId());
         List<String> parts = List.of(events(last + 1, EVENTS));
-        return Answer.inOnePacket(framing.frame(request.id(), parts, ""), Ending.CLOSE);
+        return Answer.inOnePacket(framing.frame(request.id(), parts, ""), framing.ending());
     }
 
     /** Spoils the first answer to each request. */
@@ -144,8 +152,8 @@
                                                 ? Answer.inPacketsOf(
                                                         packetBytes,
                                                         framing.frame(r.id(), parts, surplus),
-                                                        Ending.CLOSE)
-                                                : sound(framing, r)));
+                                                        framing.ending())
+                                                : sound(r)));
     }
 
     private static void thenIsPartOfTheRun(StreamedResponse response) {
@@ -209,7 +217,7 @@
                                                                 "")
                                                         : framing.frame(
                                                                 r.id(), List.of(WHOLE_STREAM), ""),
-                                                Ending.CLOSE)));
+                                                framing.ending())));
         // WHEN a request is streamed that may be resumed
         // THEN no event comes twice
         StreamedResponse response = mCluster.stream("/chat/", "id-1");
@@ -229,7 +237,7 @@
                                 r ->
                                         Answer.inOnePacket(
                                                 framing.frame(r.id(), List.of(WHOLE_STREAM), ""),
-                                                Ending.CLOSE)));
+                                                framing.ending())));
         StreamedResponse repeated = mCluster.stream("/chat/", "id-2", "Last-Event-Id", "2");
         then(repeated.status() == 200 && !repeated.body().isEmpty()).isFalse();
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StreamedResponse.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StreamedResponse.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * What a client received of a response.
@@ -18,16 +19,18 @@
 public record StreamedResponse(int status, String body, boolean complete) {
     private static final System.Logger LOG = System.getLogger(StreamedResponse.class.getName());
 
-    static StreamedResponse read(HttpClient client, HttpRequest request) {
+    static StreamedResponse read(HttpClient client, HttpRequest request, CountDownLatch event) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         int status = 0;
         try {
             HttpResponse<InputStream> response =
                     client.send(request, HttpResponse.BodyHandlers.ofInputStream());
             status = response.statusCode();
+            event.await();
             try (InputStream in = response.body()) {
-                for (int b = in.read(); b >= 0; b = in.read()) {
-                    body.write(b);
+                byte[] part = new byte[8_192];
+                for (int n = in.read(part); n >= 0; n = in.read(part)) {
+                    body.write(part, 0, n);
                 }
             }
             return new StreamedResponse(status, text(body), true);
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -260,6 +261,12 @@
 
     /** Sends a request for the base model to the first node and reads its response to the end. */
     public StreamedResponse stream(String path, String id, String... headers) {
+        return streamAfter(new CountDownLatch(0), path, id, headers);
+    }
+
+    /** Reads the body of the response only after an event. */
+    public StreamedResponse streamAfter(
+            CountDownLatch event, String path, String id, String... headers) {
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(uri(0, mListenPort, path))
                         .timeout(TIMEOUT)
@@ -269,7 +276,7 @@
         if (headers.length > 0) {
             request.headers(headers);
         }
-        return StreamedResponse.read(mClient, withModel(request, "m").build());
+        return StreamedResponse.read(mClient, withModel(request, "m").build(), event);
     }
 
     /** Sends a request with the given id to a node and returns its response. */
