Streams: bytes of an engine that was left no longer count to the stream

The client of a stream reads slowly, so that the gateway holds bytes of the engine back; the engine falls silent within an event and the stream is resumed at another one. When the client reads again, the bytes held back were still fed into the stream's reader, and the part of an event at their end was joined with the first event of the next engine: an event that no run made, in a stream that ends as complete (ORDER).

A stream that is reset at the end of its connection is not complete, before and after.

Fix: an attempt that has ended reads no further bytes of its response.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -313,9 +313,12 @@
     }
 
     private void relayEvents(HttpClientResponse response, Buffer data) {
+        if (mEnded) {
+            return;
+        }
         EventStreamReader events = mProxiedRequest.events();
         relay(response, Buffer.buffer(events.feed(data.getBytes())));
-        events.defect().filter(d -> !mEnded).ifPresent(d -> onDefect(response, d));
+        events.defect().ifPresent(d -> onDefect(response, d));
     }
 
     private void onDefect(HttpClientResponse response, EventDefect defect) {
