Backend server streams: bytes that are no event end the stream with an error

SseReaderTest.feed_refusesBytesThatAreNoEvent fails for all four kinds of bytes before this change and passes with it. Both readers now cut with EventCutter and read lines with EventFields. Events of the product's own interface have no ids; each needs data, and comments are passed on as before.

--- a/core/src/main/java/org/fescuehollow/streams/EventStreamReader.java
+++ b/core/src/main/java/org/fescuehollow/streams/EventStreamReader.java
@@ -1,8 +1,6 @@
 package org.fescuehollow.streams;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
-import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -19,8 +17,7 @@
     /** Far above the size of an event with a few tokens. */
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
-    private byte[] mPending = {};
-    private int mScanned;
+    private final EventCutter mCutter = new EventCutter();
     private EventIds mIds;
     private String mLastEventId = "";
     private boolean mResumed;
@@ -48,39 +45,17 @@
         if (mDefect.isPresent()) {
             return new byte[0];
         }
-        append(data);
-        ByteArrayOutputStream events = new ByteArrayOutputStream(mPending.length);
-        int start = 0;
-        for (int i = mScanned; i < mPending.length && mDefect.isEmpty(); i++) {
-            if (mPending[i] == '\n' && endsEvent(start, i)) {
-                accept(start, i + 1, events);
-                start = i + 1;
-            }
-        }
-        mPending = Arrays.copyOfRange(mPending, start, mPending.length);
-        mScanned = mPending.length;
-        if (mDefect.isEmpty() && mPending.length > MAX_EVENT_BYTES) {
+        ByteArrayOutputStream events = new ByteArrayOutputStream();
+        mCutter.feed(data).forEach(b -> accept(b, events));
+        if (mDefect.isEmpty() && mCutter.pendingBytes() > MAX_EVENT_BYTES) {
             mDefect = Optional.of(EventDefect.TOO_LONG);
         }
         return events.toByteArray();
     }
 
-    private void append(byte[] data) {
-        int length = mPending.length;
-        mPending = Arrays.copyOf(mPending, length + data.length);
-        System.arraycopy(data, 0, mPending, length, data.length);
-    }
-
-    /** Returns whether the line that ends at an index is empty. */
-    private boolean endsEvent(int start, int end) {
-        int before = end > start && mPending[end - 1] == '\r' ? end - 2 : end - 1;
-        return before < start || mPending[before] == '\n';
-    }
-
-    private void accept(int start, int end, ByteArrayOutputStream events) {
-        Optional<EventFields> fields =
-                EventFields.parse(ByteBuffer.wrap(mPending, start, end - start));
-        if (fields.map(EventFields::comment).orElse(false)) {
+    private void accept(byte[] block, ByteArrayOutputStream events) {
+        Optional<EventFields> fields = EventFields.parse(block);
+        if (mDefect.isPresent() || fields.map(EventFields::comment).orElse(false)) {
             return;
         }
         mDefect = fields.map(this::defect).orElse(Optional.of(EventDefect.MALFORMED_LINE));
@@ -88,7 +63,7 @@
             mLastEventId = fields.get().id();
             mIds = mIds.with(Long.parseLong(mLastEventId));
             mHasEventOfAttempt = true;
-            events.write(mPending, start, end - start);
+            events.writeBytes(block);
         }
     }
 
@@ -96,15 +71,14 @@
         if (fields.ids() != 1 || !EventIds.isNumber(fields.id())) {
             return Optional.of(EventDefect.NO_ID);
         }
-        return fields.data()
-                ? mIds.defect(Long.parseLong(fields.id()))
-                : Optional.of(EventDefect.NO_DATA);
+        return fields.data().isEmpty()
+                ? Optional.of(EventDefect.NO_DATA)
+                : mIds.defect(Long.parseLong(fields.id()));
     }
 
     /** Prepares for the response of the next engine, which resumes after the last sound event. */
     public void resume() {
-        mPending = new byte[0];
-        mScanned = 0;
+        mCutter.clear();
         mDefect = Optional.empty();
         mHasEventOfAttempt = false;
         mResumed |= !mLastEventId.isEmpty();
@@ -128,7 +102,7 @@
      */
     public boolean isWhole(BodyFraming framing) {
         boolean hasEvents = mHasEventOfAttempt || mResumed && framing != BodyFraming.CONNECTION_END;
-        return hasEvents && mPending.length == 0 && mDefect.isEmpty();
+        return hasEvents && mCutter.pendingBytes() == 0 && mDefect.isEmpty();
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/backend/SseReader.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/SseReader.java
@@ -5,6 +5,8 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import org.fescuehollow.error.FescuehollowException;
+import org.fescuehollow.streams.EventCutter;
+import org.fescuehollow.streams.EventFields;
 
 /**
  * Cuts a stream of bytes into whole server-sent events and checks whose answer they are.
@@ -17,7 +19,7 @@
 
     private final String mModel;
     private final int mLimitBytes;
-    private Buffer mRest = Buffer.buffer();
+    private final EventCutter mCutter = new EventCutter();
     private boolean mChecked;
     private boolean mDone;
 
@@ -38,48 +40,31 @@
      *
      * @param data bytes as they came
      * @return whole events, empty if none is complete
-     * @throws FescuehollowException if an event is too large, of another model, or after the end
+     * @throws FescuehollowException if an event is too large, of another model, or after the end,
+     *     or if bytes are no event
      */
     public Buffer feed(Buffer data) {
-        mRest.appendBuffer(data);
-        int end = endOfEvents(mRest);
-        if (end == 0) {
-            requireFit();
-            return Buffer.buffer();
+        Buffer whole = Buffer.buffer();
+        for (byte[] block : mCutter.feed(data.getBytes())) {
+            check(block);
+            whole.appendBytes(block);
         }
-        Buffer whole = mRest.getBuffer(0, end);
-        mRest = mRest.getBuffer(end, mRest.length());
-        requireFit();
-        check(whole);
-        return whole;
-    }
-
-    private void requireFit() {
-        if (mRest.length() > mLimitBytes) {
+        if (mCutter.pendingBytes() > mLimitBytes) {
             throw new FescuehollowException(
                     shouldAnswerCompletely("an event exceeds " + mLimitBytes + " bytes"));
         }
+        return whole;
     }
 
-    private static int endOfEvents(Buffer data) {
-        for (int i = data.length() - 1; i > 0; i--) {
-            boolean newline = data.getByte(i) == '\n';
-            if (newline && data.getByte(i - 1) == '\n') {
-                return i + 1;
-            }
-            if (newline && i > 2 && data.getByte(i - 1) == '\r' && data.getByte(i - 2) == '\n') {
-                return i + 1;
-            }
-        }
-        return 0;
-    }
-
-    private void check(Buffer events) {
-        for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith("data:")) {
-                checkData(line.substring("data:".length()).trim());
-            }
-        }
+    private void check(byte[] block) {
+        EventFields fields =
+                EventFields.parse(block)
+                        .filter(f -> f.comment() || !f.data().isEmpty())
+                        .orElseThrow(
+                                () ->
+                                        new FescuehollowException(
+                                                shouldAnswerCompletely("bytes are no event")));
+        fields.data().forEach(this::checkData);
     }
 
     private void checkData(String data) {
@@ -100,6 +85,6 @@
      * @return true if the stream is whole
      */
     public boolean isWhole() {
-        return mDone && mRest.length() == 0;
+        return mDone && mCutter.pendingBytes() == 0;
     }
 }
--- a/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
+++ b/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
@@ -14,6 +14,8 @@
 import net.jqwik.api.constraints.Size;
 import org.fescuehollow.error.FescuehollowException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SseReaderTest {
     private static final String EVENTS =
@@ -53,6 +55,32 @@
         }
     }
 
+    /** Guards against text of a faulty backend server in the middle of a stream. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "internal error\n\n",
+                "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
+                "id: 1\n\n",
+                "data: {\"x\": \u0007}\n\n"
+            })
+    void feed_refusesBytesThatAreNoEvent(String bytes) {
+        // GIVEN
+        SseReader reader = new SseReader("a@v1", 1_000);
+        reader.feed(Buffer.buffer(EVENTS.substring(0, EVENTS.indexOf("data: {\"x\": 2"))));
+        // WHEN / THEN
+        thenThrownBy(() -> reader.feed(Buffer.buffer(bytes))).hasMessageContaining("no event");
+    }
+
+    @Test
+    void feed_passesOnComments() {
+        // GIVEN
+        SseReader reader = new SseReader("a@v1", 1_000);
+        // WHEN / THEN
+        then(reader.feed(Buffer.buffer(": ping\n\n"))).hasToString(": ping\n\n");
+        then(reader.feed(Buffer.buffer(EVENTS))).hasToString(EVENTS);
+    }
+
     @Test
     void feed_refusesAnotherAdaptersAnswer() {
         // GIVEN
