Stop: no request is sent to an engine that can't be answered before the exit

Cause: the stop knew fixed points in time, made for a grace period of 8 s, and no request knew of the stop. Requests that waited, were retried or arrived after the signal were sent however little time was left, and the process exited with them. A grace period of 1 s was over after 0.3 s.

DrainSchedule decides at each placement whether a request has a fair chance to end before the exit; others are refused at once with 503, Retry-After and Connection: close, or 502 if they may have run. ResponseTimes tells how long requests of a route usually take. Shortly before the exit all that is open gets a final answer. As the whole stop runs on the event loop, nothing is sent after the decision to exit, and the exit waits until answers are written. A second SIGTERM changes nothing.

--- a/core/src/main/java/org/fescuehollow/dispatch/QueueTimeout.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/QueueTimeout.java
@@ -35,6 +35,9 @@
      */
     private static final double RETRY_AFTER_SHARE = 0.3;
 
+    /** A retry with less time than this left can't be answered before the deadline. */
+    private static final long MIN_RETRY_NANOS = Duration.ofMillis(60).toNanos();
+
     private QueueTimeout() {}
 
     /**
@@ -78,6 +81,17 @@
         return Math.max(0, Duration.ofNanos(expiryNanos(request) - now).toMillis());
     }
 
+    /**
+     * Returns whether another engine could still answer a request before its deadline.
+     *
+     * @param request the request
+     * @param now the monotonic time in nanoseconds
+     * @return false if too little time is left
+     */
+    public static boolean hasTimeToRetry(DispatchRequest request, long now) {
+        return request.deadlineNanos() - now > MIN_RETRY_NANOS;
+    }
+
     /**
      * Returns when the client of a rejected request should retry.
      *
--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/drain/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions of a planned stop of a node. */
+package org.fescuehollow.drain;
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -7,10 +7,10 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.drain.DrainSchedule;
 import org.fescuehollow.gateway.calls.FrontendService;
 import org.fescuehollow.gateway.calls.ReadinessService;
 import org.fescuehollow.gateway.exchange.ExchangeService;
@@ -49,17 +49,6 @@
     /** Shorter than the idle timeout of servers. */
     private static final int CONTROL_KEEP_ALIVE_SECONDS = 4;
 
-    /**
-     * Time after the stop signal until the load balancer sends no new connections: it needs two
-     * failed readiness checks, a second apart.
-     */
-    private static final Duration READINESS_PROPAGATION = Duration.ofMillis(2_600);
-
-    /** Part of the grace period that is reserved for the exit of the process. */
-    private static final Duration SHUTDOWN_RESERVE = Duration.ofMillis(700);
-
-    private static final long DRAIN_POLL_MILLIS = 50;
-
     private final NodeContext mContext;
     private final Kernel mKernel;
 
@@ -167,27 +156,27 @@
     }
 
     /**
-     * Drains the node: takes no new connections, waits for open requests until the grace period is
-     * nearly over, and then returns, so that the process can exit.
+     * Drains the node and returns when the process can exit: once all requests have got their
+     * answers, at the latest shortly before the grace period is over. Until then, requests are
+     * refused unless they are likely to end in time.
      */
     public void drainAndStop() {
         mContext.log().event("stop", "node", mContext.settings().node());
         FrontendService frontend = mKernel.find(FrontendService.NAME, FrontendService.class);
         OrderService orders = mKernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = mKernel.find(ExchangeService.NAME, ExchangeService.class);
+        DrainSchedule schedule =
+                new DrainSchedule(
+                        mContext.clock().now(), (long) (mContext.settings().graceSeconds() * 1e9));
+        CountDownLatch drained = new CountDownLatch(1);
         mContext.vertx()
                 .runOnContext(
                         v -> {
-                            frontend.startDraining();
+                            frontend.drain(schedule).onComplete(r -> drained.countDown());
                             orders.giveUpEngines();
                             exchange.announceLeaving();
                         });
-        long graceNanos =
-                (long) (mContext.settings().graceSeconds() * 1e9) - SHUTDOWN_RESERVE.toNanos();
-        mContext.vertx()
-                .setTimer(READINESS_PROPAGATION.toMillis(), t -> frontend.closeIdleConnections());
-        awaitDrained(frontend, System.nanoTime(), graceNanos);
-        mContext.log().event("stopped", "open", frontend.openRequests());
+        awaitDrained(drained, schedule);
         mContext.log().flush();
     }
 
@@ -197,18 +186,11 @@
         mContext.vertx().close().toCompletionStage().toCompletableFuture().join();
     }
 
-    private static void awaitDrained(FrontendService frontend, long startNanos, long graceNanos) {
+    private void awaitDrained(CountDownLatch drained, DrainSchedule schedule) {
         try {
-            while (true) {
-                long elapsedNanos = System.nanoTime() - startNanos;
-                boolean drained =
-                        elapsedNanos > READINESS_PROPAGATION.toNanos()
-                                && frontend.openRequests() == 0;
-                if (drained || elapsedNanos > graceNanos) {
-                    return;
-                }
-                TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
-            }
+            long waitNanos = schedule.exitNanos() - schedule.startNanos();
+            boolean inTime = drained.await(waitNanos, TimeUnit.NANOSECONDS);
+            mContext.log().event("stopped", "drained", inTime);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -34,10 +35,15 @@
         return mStarted;
     }
 
+    /** Returns whether a complete response with status 2xx was sent. */
+    boolean isCompleteSuccess() {
+        return mResponse.ended() && mResponse.getStatusCode() / 100 == 2;
+    }
+
     /** Sends a complete response of an engine. */
     void sendComplete(int status, MultiMap headers, Buffer body) {
         start(status, headers);
-        mResponse.end(body).onComplete(r -> closeIfDraining());
+        finish(mResponse.end(body));
     }
 
     /** Returns whether another engine may answer: not within a body that is no stream of events. */
@@ -91,7 +97,7 @@
     }
 
     void end() {
-        mResponse.end().onComplete(r -> closeIfDraining());
+        finish(mResponse.end());
     }
 
     /** Aborts a response that was started and can't be completed; a complete one is left alone. */
@@ -112,7 +118,12 @@
         }
         mResponse.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
         addCloseHeader();
-        mResponse.end("{\"code\":\"" + error.code() + "\"}").onComplete(r -> closeIfDraining());
+        finish(mResponse.end("{\"code\":\"" + error.code() + "\"}"));
+    }
+
+    private void finish(Future<Void> written) {
+        mContext.onResponseEnding(written);
+        written.onComplete(r -> closeIfDraining());
     }
 
     private void closeIfDraining() {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
@@ -16,6 +17,7 @@
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.catalog.ServiceSpec;
 import org.fescuehollow.dispatch.Dispatcher;
+import org.fescuehollow.drain.DrainSchedule;
 import org.fescuehollow.gateway.exchange.ExchangeService;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.gateway.node.NodeSettings;
@@ -242,29 +244,23 @@
                 && !mContext.catalog().engines().isEmpty();
     }
 
-    /** Starts draining: each connection is closed after its next response. */
-    public void startDraining() {
-        mContext.startDraining();
+    /**
+     * Starts a planned stop: each connection is closed after its next response.
+     *
+     * @param schedule the phases of the stop
+     * @return completes once the process may exit
+     */
+    public Future<Void> drain(DrainSchedule schedule) {
+        return new Drain(mContext, schedule, this::closeIdleConnections).start();
     }
 
-    /** Rejects all further requests and closes the connections without an open request. */
-    public void closeIdleConnections() {
-        mContext.close();
+    private void closeIdleConnections() {
         mConnections.stream()
                 .filter(c -> !mBusyConnections.contains(c))
                 .toList()
                 .forEach(HttpConnection::close);
     }
 
-    /**
-     * Returns the number of open requests.
-     *
-     * @return the number of requests
-     */
-    public int openRequests() {
-        return mContext.openRequests();
-    }
-
     @Override
     public Object dump() {
         return Map.of(
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -21,9 +21,6 @@
  * have run. Not thread-safe; used on the node's event loop.
  */
 final class ProxiedRequest {
-    /** A retry with less time than this left can't be answered before the deadline. */
-    private static final long MIN_RETRY_NANOS = Duration.ofMillis(60).toNanos();
-
     private final RequestContext mContext;
     private final HttpServerRequest mClientRequest;
     private final Buffer mBody;
@@ -61,7 +58,7 @@
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
-        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> onException());
+        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
     }
 
     DispatchRequest dispatchRequest() {
@@ -108,7 +105,7 @@
     }
 
     void start() {
-        mContext.onRequestStarted();
+        mContext.onRequestStarted(this);
         mGuard.run(this::startGuarded);
     }
 
@@ -157,6 +154,11 @@
             fail(mMayHaveRun ? GatewayError.ANSWER_LOST : GatewayError.CRASHES_ENGINES);
             return true;
         }
+        if (!mContext.maySend(mDispatchRequest, mRoute)) {
+            mWaitReason = "STOPPING";
+            giveUp();
+            return true;
+        }
         long now = mContext.now();
         Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
         if (placement instanceof Placement.Send send) {
@@ -220,7 +222,7 @@
         mRuns -= reachedEngine ? 1 : 0;
         mExcludedEngines.add(engine.id());
         boolean mayRetry =
-                hasTimeToRetry()
+                QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
                         && (!reachedEngine || mContext.tryRetry(mDispatchRequest.service()));
         if (mayRetry) {
             placeOrWait();
@@ -267,7 +269,7 @@
         return mRoute.isRetryable()
                 && mResponse.acceptsEvents()
                 && mRuns < mRoute.maxAttempts()
-                && hasTimeToRetry();
+                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now());
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
@@ -303,10 +305,6 @@
         return false;
     }
 
-    private boolean hasTimeToRetry() {
-        return mDispatchRequest.deadlineNanos() - mContext.now() > MIN_RETRY_NANOS;
-    }
-
     /** Handles the complete delivery of an engine's response. */
     void onDelivered(Engine engine, int status) {
         onAttemptEnded(engine, "status " + status);
@@ -355,8 +353,7 @@
             finish("aborted", error.code() + (mWaitReason.isEmpty() ? "" : " " + mWaitReason));
             return;
         }
-        double retryAfterSeconds = QueueTimeout.retryAfterSeconds(mDispatchRequest, mContext.now());
-        mResponse.sendError(error, mHead.attemptId(), retryAfterSeconds);
+        mResponse.sendError(error, mHead.attemptId(), mContext.retryAfterSeconds(mDispatchRequest));
         finish(error.code(), mWaitReason);
     }
 
@@ -367,8 +364,8 @@
         }
     }
 
-    /** Ends the request after an exception, with an error that tells whether it may have run. */
-    private void onException() {
+    /** Ends the request at once, with an error that tells whether it may have run. */
+    void endNow() {
         if (mDone) {
             return;
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
 import java.util.Collections;
@@ -8,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
@@ -19,6 +21,8 @@
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.dispatch.WaitQueue;
 import org.fescuehollow.dispatch.WindowedRetryBudget;
+import org.fescuehollow.drain.DrainSchedule;
+import org.fescuehollow.drain.ResponseTimes;
 import org.fescuehollow.gateway.exchange.ExchangeService;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.gateway.node.NodeSettings;
@@ -36,6 +40,9 @@
      */
     static final long SILENCE_CHECK_MILLIS = 100;
 
+    /** Other nodes can take a request at once that this one refuses as it stops. */
+    private static final double DRAINING_RETRY_AFTER_SECONDS = 0.05;
+
     private final NodeContext mNode;
     private final CatalogService mCatalog;
     private final Dispatcher mDispatcher;
@@ -52,8 +59,10 @@
     private final Set<HttpConnection> mUsedConnections =
             Collections.newSetFromMap(new IdentityHashMap<>());
     private final CoalescedTask mDispatch;
-    private int mOpenRequests;
-    private boolean mDraining;
+    private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
+    private final ResponseTimes mResponseTimes = new ResponseTimes();
+    private Optional<DrainSchedule> mDrainSchedule = Optional.empty();
+    private int mUnflushedResponses;
     private boolean mClosed;
 
     RequestContext(
@@ -220,13 +229,17 @@
         }
     }
 
-    void onRequestStarted() {
-        mOpenRequests++;
+    void onRequestStarted(ProxiedRequest request) {
+        mOpen.add(request);
     }
 
     /** Records that a request has ended; called once for each. */
     void onRequestEnded(ProxiedRequest request) {
-        mOpenRequests--;
+        if (request.response().isCompleteSuccess()) {
+            mResponseTimes.record(
+                    request.route().name(), now() - request.dispatchRequest().arrivalNanos());
+        }
+        mOpen.remove(request);
         mSent.remove(request);
         mWaitQueue.remove(request);
     }
@@ -250,15 +263,46 @@
     }
 
     int openRequests() {
-        return mOpenRequests;
+        return mOpen.size();
+    }
+
+    /** Ends all open requests, each with an error that tells whether it may have run. */
+    void endAll() {
+        List.copyOf(mOpen).forEach(ProxiedRequest::endNow);
+    }
+
+    /** Records that the last bytes of a response are being written, until the future completes. */
+    void onResponseEnding(Future<Void> written) {
+        mUnflushedResponses++;
+        written.onComplete(r -> mUnflushedResponses--);
+    }
+
+    /** Returns whether all responses that have ended were written to their connections. */
+    boolean isFlushed() {
+        return mUnflushedResponses == 0;
+    }
+
+    /**
+     * Returns whether a request may be sent to an engine, as far as a planned stop is concerned.
+     */
+    boolean maySend(DispatchRequest request, Route route) {
+        return mDrainSchedule
+                .map(d -> d.maySend(request, route, mResponseTimes.usualNanos(route.name()), now()))
+                .orElse(true);
+    }
+
+    /** Returns when the client of a rejected request should retry, in seconds. */
+    double retryAfterSeconds(DispatchRequest request) {
+        double seconds = QueueTimeout.retryAfterSeconds(request, now());
+        return isDraining() ? Math.min(DRAINING_RETRY_AFTER_SECONDS, seconds) : seconds;
     }
 
-    void startDraining() {
-        mDraining = true;
+    void startDraining(DrainSchedule schedule) {
+        mDrainSchedule = Optional.of(schedule);
     }
 
     boolean isDraining() {
-        return mDraining;
+        return mDrainSchedule.isPresent();
     }
 
     /** Rejects all further requests. */
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -53,6 +53,7 @@
     private int mLatencyObjectiveMillis = 15_000;
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
+    private final List<EntryProcess> mProcesses = new ArrayList<>();
     private final int mListenPort = freePort();
     private final int mReadinessPort = freePort();
     private final int mExchangePort = freePort();
@@ -201,6 +202,28 @@
         await(() -> readiness(0) == 200);
     }
 
+    /** Starts the first node in a process of its own. */
+    public EntryProcess startProcess() {
+        EntryProcess process = new EntryProcess(settings(0));
+        mProcesses.add(process);
+        await(() -> process.isAlive() && isReady());
+        return process;
+    }
+
+    private boolean isReady() {
+        try {
+            return readiness(0) == 200;
+        } catch (IllegalStateException e) {
+            LOG.log(System.Logger.Level.DEBUG, "not ready", e);
+            return false;
+        }
+    }
+
+    /** Returns the port on which nodes accept the connections of clients. */
+    public int listenPort() {
+        return mListenPort;
+    }
+
     private String settings(int i) {
         String ip = "127.0.0." + (i + 1);
         return new JsonObject()
@@ -319,6 +342,7 @@
     @Override
     public void close() {
         mNodes.forEach(EntryNode::stop);
+        mProcesses.forEach(EntryProcess::close);
         mVertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
