Stop: no request is read after a response that announces the close

A client that pipelines requests on a kept connection had the second one sent to an engine, and its connection closed without an answer (LOST).

Cause: Vert.x hands on the next request as soon as a response has ended; the connection is closed only once that response is written. With an idle connection to the engine, the next request is sent in between.

Evidence: LateInTheGraceTest.request_thatIsPipelinedBehindAnotherIsNotPassedOn failed for /read/ without this change (one request more had reached the server) and passes with it; /pay/, which opens a new connection to the engine, passed before as well.

A connection whose response announced the close has no further requests handled.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -77,6 +77,7 @@
     private void addCloseHeader() {
         if (mContext.isDraining()) {
             mResponse.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+            mContext.markClosing(mRequest.connection());
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -154,10 +154,15 @@
                 v -> {
                     mConnections.remove(connection);
                     mBusyConnections.remove(connection);
+                    mContext.onConnectionClosed(connection);
                 });
     }
 
     private void onRequest(HttpServerRequest request) {
+        if (mContext.isClosing(request.connection())) {
+            // Its client was told that the connection ends with the response before.
+            return;
+        }
         mBusyConnections.add(request.connection());
         request.response().endHandler(v -> mBusyConnections.remove(request.connection()));
         int maxBodyBytes =
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -62,6 +62,8 @@
     private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
     private final ResponseTimes mResponseTimes = new ResponseTimes();
     private Optional<DrainSchedule> mDrainSchedule = Optional.empty();
+    private final Set<HttpConnection> mClosingConnections =
+            Collections.newSetFromMap(new IdentityHashMap<>());
     private int mUnflushedResponses;
     private boolean mClosed;
 
@@ -271,6 +273,19 @@
         List.copyOf(mOpen).forEach(ProxiedRequest::endNow);
     }
 
+    /** Records that a response on a connection announces its close. */
+    void markClosing(HttpConnection connection) {
+        mClosingConnections.add(connection);
+    }
+
+    boolean isClosing(HttpConnection connection) {
+        return mClosingConnections.contains(connection);
+    }
+
+    void onConnectionClosed(HttpConnection connection) {
+        mClosingConnections.remove(connection);
+    }
+
     /** Records that the last bytes of a response are being written, until the future completes. */
     void onResponseEnding(Future<Void> written) {
         mUnflushedResponses++;
--- a/gateway/src/test/java/org/fescuehollow/gateway/LateInTheGraceTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/LateInTheGraceTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
 import org.fescuehollow.gateway.testsupport.EngineStandIn;
 import org.fescuehollow.gateway.testsupport.EntryProcess;
 import org.fescuehollow.gateway.testsupport.TestCluster;
@@ -232,6 +233,45 @@
         then(mServer.receivedRequests()).hasSize(1);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/pay/", "/read/"})
+    void request_thatIsPipelinedBehindAnotherIsNotPassedOn(String path) throws Exception {
+        mCluster.latencyObjective(SHORT_OBJECTIVE_MILLIS);
+        start(3);
+        mServer.onRequest(
+                (received, request) ->
+                        mCluster.vertx().setTimer(500, t -> mServer.answerOk(received, request)));
+        openEngineConnections(path);
+        int before = mServer.receivedRequests().size();
+        try (Socket socket = new Socket("127.0.0.1", mCluster.listenPort())) {
+            String requests = "";
+            for (int i = 1; i <= 20; i++) {
+                requests +=
+                        "POST "
+                                + path
+                                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 1\r\n"
+                                + "X-Fescuehollow-Attempt-Id: id-"
+                                + i
+                                + "\r\n\r\nx";
+            }
+            socket.getOutputStream().write(requests.getBytes(StandardCharsets.US_ASCII));
+            TestCluster.await(() -> mServer.receivedRequests().size() == before + 1);
+            mProcess.terminate();
+            String response =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            then(response).startsWith("HTTP/1.1 200 ").endsWith("answer of i-1 to x");
+        }
+        then(mProcess.awaitExit()).isZero();
+        then(mServer.receivedRequests()).hasSize(before + 1);
+    }
+
+    private void openEngineConnections(String path) {
+        Stream.of("warm-1", "warm-2", "warm-3")
+                .map(id -> CompletableFuture.supplyAsync(() -> mCluster.call(0, path, id, "x")))
+                .toList()
+                .forEach(CompletableFuture::join);
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = {1, 3})
     void requests_thatAreSentUntilTheExitAreAnsweredIfPassedOn(double graceSeconds)
