Test: responses that are cut within their head are not delivered

Another operator's clients got a 200 with an empty or short body from an engine that stopped in the middle of its answer's head.

--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -104,6 +104,15 @@
         return server;
     }
 
+    /** Registers a server that cuts its responses. */
+    public CutResponseServer addCutResponseServer(String id, String service) {
+        CutResponseServer server = new CutResponseServer();
+        mStore.put(
+                "servers/" + id,
+                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return server;
+    }
+
     /** Registers a server that writes earlier refusals once more. */
     public RepeatedRefusalServer addRepeatedRefusalServer(String id, String service) {
         RepeatedRefusalServer server = new RepeatedRefusalServer(mVertx);
