Attempt: an informational response is no final one

Callers of an engine that sends an informational response (102 in the test) and closes waited until their deadline: the gateway had passed it on as the answer.

Cause: the HTTP client hands on such a response as any other, and only those with a status of success were checked for the engine's seal.

Evidence: CutHeadTest.informationalResponse_withoutAFinalOneIsNoResponse failed without this change, as the client had no final response within 30 s (log: outcome=status_102), and passes with it.

Such a response fails the attempt as one that may have run, so that the client gets 502 or an idempotent request is retried.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -259,7 +259,8 @@
 
     private static boolean isUnverified(ResponseHead head) {
         boolean success = head.status() >= STATUS_OK && head.status() < FIRST_REDIRECT_STATUS;
-        return success && (!head.sealed() || head.contentEncoded());
+        boolean informational = head.status() < STATUS_OK;
+        return informational || success && (!head.sealed() || head.contentEncoded());
     }
 
     private void onRefused(ResponseHead head) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/CutHeadTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/CutHeadTest.java
@@ -192,4 +192,16 @@
             }
         }
     }
+
+    @Test
+    void informationalResponse_withoutAFinalOneIsNoResponse() {
+        start("plain");
+        for (String start : List.of("100 Continue", "103 Early Hints", "102 Processing")) {
+            mServer.setCut(
+                    new CutResponseServer.Cut(id -> "HTTP/1.1 " + start + "\r\n\r\n", false));
+            then(call("/pay/").map(HttpResponse::statusCode).orElse(GATEWAY_ERROR))
+                    .as(start)
+                    .isEqualTo(GATEWAY_ERROR);
+        }
+    }
 }
