Attempts: an interim response is not passed on as the final one

Callers saw an engine's 101 or 102 as the whole answer to their request, with no body, framed as complete; the final answer, if one followed, was lost. An engine that sends 102 without end, or bytes after a 101, was read as having answered.

Cause: the HTTP client handles 100 and 103 itself and hands on every other status below 200 as a response. The check for a seal looked at statuses from 200 to 299 only, so that such a response went to the client as it was.

Why it works: an attempt whose response has a status below 200 fails as one whose response is lost, before any of its headers is used.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -229,6 +229,10 @@
             onFailure(new IllegalStateException("response belongs to another request"));
             return;
         }
+        if (head.isInterim()) {
+            onFailure(new IllegalStateException("interim response in place of a final one"));
+            return;
+        }
         if (!head.isMisdirected()) {
             mContext.onResponseOf(mEngine, head);
         }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -87,7 +87,12 @@
 
     /** Registers a server that sends endless bytes. */
     public EndlessServer addEndlessServer(String id, String service, String responseStart) {
-        EndlessServer server = new EndlessServer(mVertx, responseStart);
+        return addEndlessServer(id, service, EndlessServer.Script.flood(responseStart, "x"));
+    }
+
+    /** Registers a server that sends endless bytes. */
+    public EndlessServer addEndlessServer(String id, String service, EndlessServer.Script script) {
+        EndlessServer server = new EndlessServer(mVertx, script);
         mStore.put(
                 "servers/" + id,
                 EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
@@ -257,6 +262,23 @@
         return send(node, mListenPort, request, path);
     }
 
+    /** Returns a request for the base model as it goes over the wire to the first node. */
+    public String rawRequest(String path, String id, long deadlineMillis) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Fescuehollow-Attempt-Id: "
+                + id
+                + "\r\nX-Fescuehollow-Deadline-Ms: "
+                + deadlineMillis
+                + "\r\nX-Fescuehollow-Model: m\r\nX-Fescuehollow-Token-Usage: 100,10"
+                + "\r\nContent-Length: 1\r\n\r\nx";
+    }
+
+    /** Returns the port of the nodes for clients. */
+    public int clientPort() {
+        return mListenPort;
+    }
+
     /** Sends a request for a model, without an adapter, to the first node. */
     public HttpResponse<String> callModel(String model, String id) {
         HttpRequest.Builder request =
