Calls to engines: interim responses without end fail the call

What was seen: an engine that sent "100 Continue" or "103 Early Hints" again and again kept the request until its client's deadline, and the event loop read tens of megabytes of them. They are not kept, so that memory did not grow; other clients were answered, but the processor was busy with them all the time. A call for a report or an order took as many as came within its second.

Cause: the HTTP client reads interim responses and nobody counts them.

Why it works: InterimResponses fails the call after a hundred of them and closes its connection.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -16,6 +16,7 @@
 import org.fescuehollow.dispatch.EngineHealth;
 import org.fescuehollow.dispatch.EngineInactivityDetector;
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.platform.InterimResponses;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
 
@@ -138,6 +139,7 @@
         }
         mSentNanos = mContext.now();
         request.exceptionHandler(guarded(this::onBroken));
+        InterimResponses.limit(request, guarded(this::onBroken));
         request.response().onSuccess(guarded(this::onResponse)).onFailure(guarded(this::onBroken));
         mProxiedRequest.onSent();
         if (mProxiedRequest.route().kind() == RouteKind.STREAM) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/EndlessBytesTest.java
@@ -135,6 +135,17 @@
         clients.forEach(RawClient::close);
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void interimResponses_withoutEndCloseTheConnection(Interim interim) {
+        EndlessServer server = start(Script.flood("", interim.mBytes));
+        try (RawClient client = send("/pay/", "a", DEADLINE_MILLIS)) {
+            thenOtherClientsAreServed();
+            then(client.read(STATUS_LINE_BYTES)).isEqualTo("HTTP/1.1 502");
+            thenClosedEarly(server);
+        }
+    }
+
     @ParameterizedTest
     @EnumSource
     void interimResponses_thatDripEndAtTheDeadline(Interim interim) {
