Server: reports, orders, polls and refusals are read within limits of size and time

What was seen: an engine that answered a report, an order or a call of an adapter (404, 429 or 503) with an endless body made the server keep all of it, and so did the platform services behind the long polls; after another status than 200 the body of a poll was read on a connection that nobody closed. Sent slowly, such a body kept the call open for good: a load that never ended, a caller that got no refusal.

Cause: these four calls read the whole body without a limit, and the timeout of the HTTP client is one of idle time, which restarts with each byte. Only the bodies that go to callers had a limit.

Why it works: BoundedCall reads a response up to a size and within a time from the call's start, and closes the connection of each call that fails. A refusal is handed on at its head and closes the connection. More than a hundred interim responses fail a call. EndlessServer moves to the stand-ins, where the tests of the platform module use it too.

--- a/server/src/main/java/org/fescuehollow/server/backend/BackendClient.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/BackendClient.java
@@ -1,11 +1,13 @@
 package org.fescuehollow.server.backend;
 
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.function.BiConsumer;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.model.Vm;
@@ -14,6 +16,7 @@
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.config.Limits;
+import org.fescuehollow.server.loop.BoundedCall;
 
 /**
  * Speaks HTTP to engines and plain services.
@@ -23,6 +26,11 @@
  * again here. Used on the node's loop.
  */
 public final class BackendClient {
+    /** Many times the size of a report of an engine with all its adapters. */
+    private static final int CONTROL_BYTES = 256 * 1024;
+
+    private static final Logger LOG = System.getLogger(BackendClient.class.getName());
+
     private final HttpClient mClient;
     private final Limits mLimits;
 
@@ -49,12 +57,13 @@
     public Future<AdminReply> order(Vm server, String path, AdapterRef adapter, long fencing) {
         RequestOptions options =
                 options(server, HttpMethod.POST, path)
-                        .setTimeout(mLimits.loadMillis())
                         .putHeader("Content-Type", "application/json")
                         .putHeader(EngineProtocol.FENCING_HEADER, Long.toString(fencing));
-        return mClient.request(options)
-                .compose(r -> r.send(EngineProtocol.order(adapter)))
-                .compose(response -> response.body().map(b -> replyOf(response.statusCode())))
+        Duration timeout = Duration.ofMillis(mLimits.loadMillis());
+        return BoundedCall.send(
+                        mClient, options, EngineProtocol.order(adapter), CONTROL_BYTES, timeout)
+                .map(r -> replyOf(r.status()))
+                .onFailure(e -> LOG.log(Level.WARNING, "order to " + server.id() + " failed: " + e))
                 .otherwise(AdminReply.FAILED);
     }
 
@@ -73,13 +82,10 @@
      * @return the report; fails if the engine doesn't answer
      */
     public Future<EngineReport> inspect(Vm server) {
-        RequestOptions options =
-                options(server, HttpMethod.GET, EngineProtocol.REPORT_PATH)
-                        .setTimeout(mLimits.connectMillis() * 2L);
-        return mClient.request(options)
-                .compose(HttpClientRequest::send)
-                .compose(HttpClientResponse::body)
-                .map(b -> EngineProtocol.report(b.getBytes()));
+        RequestOptions options = options(server, HttpMethod.GET, EngineProtocol.REPORT_PATH);
+        Duration timeout = Duration.ofMillis(mLimits.connectMillis() * 2L);
+        return BoundedCall.send(mClient, options, Buffer.buffer(), CONTROL_BYTES, timeout)
+                .map(r -> EngineProtocol.report(r.body().getBytes()));
     }
 
     /**
--- a/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
@@ -17,6 +17,7 @@
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.config.Limits;
+import org.fescuehollow.server.loop.InterimResponses;
 
 /**
  * One attempt's exchange with a backend server.
@@ -52,6 +53,7 @@
             return;
         }
         mRequest = Optional.of(request);
+        InterimResponses.limit(request);
         request.response().onSuccess(this::answered).onFailure(this::broken);
         request.exceptionHandler(this::broken);
         request.end(mCall.body()).onFailure(this::broken);
@@ -61,7 +63,7 @@
         response.exceptionHandler(this::broken);
         int status = response.statusCode();
         if (mCall.adapter().isPresent() && isRefusal(status)) {
-            refused(response, status);
+            refused(status);
         } else if (mCall.stream() && status == STATUS_OK) {
             relayEvents(response);
         } else {
@@ -74,17 +76,13 @@
         return status == 404 || status == 429 || status == 503;
     }
 
-    private void refused(HttpClientResponse response, int status) {
-        boolean missing = status == 404;
-        response.body()
-                .onComplete(
-                        b ->
-                                fail(
-                                        missing
-                                                ? shouldHoldAdapter(adapterName())
-                                                : shouldAnswer(
-                                                        RunState.NOT_RUN,
-                                                        "it refused with status " + status)));
+    /** Closes the connection, as the body of a refusal isn't needed and may have no end. */
+    private void refused(int status) {
+        fail(
+                status == 404
+                        ? shouldHoldAdapter(adapterName())
+                        : shouldAnswer(RunState.NOT_RUN, "it refused with status " + status));
+        resetRequest();
     }
 
     private String adapterName() {
@@ -142,6 +140,9 @@
         Buffer body = Buffer.buffer();
         response.handler(
                 data -> {
+                    if (mEnded) {
+                        return;
+                    }
                     body.appendBuffer(data);
                     if (body.length() > mLimits.answerBytes()) {
                         fail(
--- a/server/src/main/java/org/fescuehollow/server/platform/LongPoll.java
+++ b/server/src/main/java/org/fescuehollow/server/platform/LongPoll.java
@@ -3,8 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.lang.System.Logger;
@@ -14,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fescuehollow.error.FescuehollowException;
+import org.fescuehollow.server.loop.BoundedCall;
 import org.fescuehollow.server.loop.NodeLoop;
 
 /**
@@ -27,7 +26,11 @@
     public static final Duration HOLD = Duration.ofSeconds(30);
 
     private static final Logger LOG = System.getLogger(LongPoll.class.getName());
-    private static final long GRACE_MILLIS = 5_000;
+    private static final Duration GRACE = Duration.ofSeconds(5);
+
+    /** Many times the size of the settings of all teams and of the list of all VMs. */
+    private static final int MAX_BYTES = 16 << 20;
+
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 5_000;
     private static final double JITTER = 0.5;
@@ -67,20 +70,17 @@
                 new RequestOptions()
                         .setAbsoluteURI(mUrl.get())
                         .setMethod(HttpMethod.GET)
-                        .setConnectTimeout(GRACE_MILLIS)
-                        .setTimeout(HOLD.toMillis() + GRACE_MILLIS);
-        mClient.request(options)
-                .compose(HttpClientRequest::send)
+                        .setConnectTimeout(GRACE.toMillis());
+        BoundedCall.send(mClient, options, Buffer.buffer(), MAX_BYTES, HOLD.plus(GRACE))
                 .compose(LongPoll::bodyOf)
                 .onSuccess(this::answered)
                 .onFailure(this::failed);
     }
 
-    private static Future<Buffer> bodyOf(HttpClientResponse response) {
-        if (response.statusCode() != 200) {
-            return Future.failedFuture("status " + response.statusCode());
-        }
-        return response.body();
+    private static Future<Buffer> bodyOf(BoundedCall.Response response) {
+        return response.status() == 200
+                ? Future.succeededFuture(response.body())
+                : Future.failedFuture("status " + response.status());
     }
 
     private void answered(Buffer body) {
--- a/platform/src/test/java/org/fescuehollow/platform/testsupport/EndlessServer.java
+++ b/standins/src/main/java/org/fescuehollow/standins/EndlessServer.java
@@ -1,4 +1,4 @@
-package org.fescuehollow.platform.testsupport;
+package org.fescuehollow.standins;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -11,9 +11,11 @@
  * A server that responds to any request with a given start of a response, followed by the same
  * bytes again and again. It stops at a limit, so that a caller that keeps them all harms no other
  * process.
+ *
+ * <p>Connections are handled on one event loop; the counts may be read from any thread.
  */
 public final class EndlessServer {
-    /** The bytes that a connection receives if its caller doesn't close it. */
+    /** Number of bytes that a connection receives if its caller doesn't close it. */
     public static final long MAX_BYTES = 64L * 1024 * 1024;
 
     private final Vertx mVertx;
@@ -25,7 +27,14 @@
     private final AtomicInteger mClosed = new AtomicInteger();
     private final AtomicLong mBytes = new AtomicLong();
 
-    /** Starts a server; without a pause it sends as fast as its callers read. */
+    /**
+     * Starts a server on a loopback port that the system chooses.
+     *
+     * @param vertx the Vert.x instance that runs the event loop
+     * @param start the start of each response
+     * @param filler the bytes that follow it again and again
+     * @param pauseMillis the pause between two fillers; zero to send as fast as the callers read
+     */
     public EndlessServer(Vertx vertx, String start, String filler, long pauseMillis) {
         mVertx = vertx;
         mStart = start;
@@ -35,21 +44,38 @@
         mServer.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
     }
 
+    /**
+     * Returns the port.
+     *
+     * @return the bound port
+     */
     public int port() {
         return mServer.actualPort();
     }
 
-    /** Returns whether the callers have closed all connections, of which there is one at least. */
+    /**
+     * Returns whether the callers have closed all connections.
+     *
+     * @return false also if there was no connection yet
+     */
     public boolean isClosedByCallers() {
         return mOpened.get() > 0 && mClosed.get() == mOpened.get();
     }
 
-    /** Returns the number of open connections. */
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the number of connections
+     */
     public int openConnections() {
         return mOpened.get() - mClosed.get();
     }
 
-    /** Returns the bytes sent on all connections. */
+    /**
+     * Returns how much was sent on all connections.
+     *
+     * @return the number of bytes, without the starts of responses
+     */
     public long sentBytes() {
         return mBytes.get();
     }
