Server: the search for the end of an event looks at each byte once

What was seen: an engine that sent a long event in chunks of a byte kept the event loop busy for the square of the event's size.

Cause: SseReader searched the whole incomplete event again after each read.

Evidence: SseReaderTest, feed_ofSingleBytesTakesTimeInProportionToTheirNumber, a megabyte in single bytes within 10 s, failed before (timed out) and passes now; so does the property that events are the same however they are cut.

Why it works: bytes that were searched before hold no end of an event, else they would have been handed on; an end that straddles two reads has its last byte in the new one.

--- a/server/src/main/java/org/fescuehollow/server/backend/SseReader.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/SseReader.java
@@ -41,8 +41,9 @@
      * @throws FescuehollowException if an event is too large, of another model, or after the end
      */
     public Buffer feed(Buffer data) {
+        int searched = mRest.length();
         mRest.appendBuffer(data);
-        int end = endOfEvents(mRest);
+        int end = endOfEvents(mRest, searched);
         if (end == 0) {
             requireFit();
             return Buffer.buffer();
@@ -61,8 +62,9 @@
         }
     }
 
-    private static int endOfEvents(Buffer data) {
-        for (int i = data.length() - 1; i > 0; i--) {
+    /** Returns the end of the last whole event; none ends before the given number of bytes. */
+    private static int endOfEvents(Buffer data, int searched) {
+        for (int i = data.length() - 1; i >= Math.max(1, searched); i--) {
             boolean newline = data.getByte(i) == '\n';
             if (newline && data.getByte(i - 1) == '\n') {
                 return i + 1;
--- a/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
+++ b/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
@@ -14,8 +14,10 @@
 import net.jqwik.api.constraints.Size;
 import org.fescuehollow.error.FescuehollowException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class SseReaderTest {
+    private static final int LONG_EVENT_BYTES = 1024 * 1024;
     private static final String EVENTS =
             "data: {\"model\": \"a@v1\", \"x\": 1}\n\ndata: {\"x\": 2}\r\n\r\ndata: [DONE]\n\n";
 
@@ -80,4 +82,15 @@
         // THEN
         then(reader.isWhole()).isFalse();
     }
+
+    @Test
+    @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void feed_ofSingleBytesTakesTimeInProportionToTheirNumber() {
+        SseReader reader = new SseReader("a@v1", LONG_EVENT_BYTES);
+        Buffer data = Buffer.buffer("x");
+        for (int i = 0; i < LONG_EVENT_BYTES; i++) {
+            then(reader.feed(data).length()).isZero();
+        }
+        thenThrownBy(() -> reader.feed(data)).isInstanceOf(FescuehollowException.class);
+    }
 }
