--- a/core/src/main/java/org/fescuehollow/streams/EventCutter.java
+++ b/core/src/main/java/org/fescuehollow/streams/EventCutter.java
@@ -11,7 +11,8 @@
  * Not thread-safe.
  */
 public final class EventCutter {
-    private byte[] mPending = {};
+    private byte[] mBytes = {};
+    private int mLength;
 
     /** Creates a cutter without pending bytes. */
     public EventCutter() {}
@@ -23,21 +24,33 @@
      * @return the blocks that they complete, each with the empty line at its end
      */
     public List<byte[]> feed(byte[] data) {
-        int scanned = mPending.length;
-        byte[] bytes = Arrays.copyOf(mPending, scanned + data.length);
-        System.arraycopy(data, 0, bytes, scanned, data.length);
+        int scanned = mLength;
+        append(data);
         List<byte[]> blocks = new ArrayList<>();
         int start = 0;
-        for (int i = scanned; i < bytes.length; i++) {
-            if (bytes[i] == '\n' && endsEmptyLine(bytes, start, i)) {
-                blocks.add(Arrays.copyOfRange(bytes, start, i + 1));
+        for (int i = scanned; i < mLength; i++) {
+            if (mBytes[i] == '\n' && endsEmptyLine(mBytes, start, i)) {
+                blocks.add(Arrays.copyOfRange(mBytes, start, i + 1));
                 start = i + 1;
             }
         }
-        mPending = start == 0 ? bytes : Arrays.copyOfRange(bytes, start, bytes.length);
+        if (start > 0) {
+            mBytes = Arrays.copyOfRange(mBytes, start, mLength);
+            mLength -= start;
+        }
         return blocks;
     }
 
+    /** Doubles the space when it is full, so that single bytes cost no copy of all others each. */
+    private void append(byte[] data) {
+        int length = mLength + data.length;
+        if (length > mBytes.length) {
+            mBytes = Arrays.copyOf(mBytes, Math.max(length, 2 * mLength));
+        }
+        System.arraycopy(data, 0, mBytes, mLength, data.length);
+        mLength = length;
+    }
+
     private static boolean endsEmptyLine(byte[] bytes, int start, int end) {
         int before = end > start && bytes[end - 1] == '\r' ? end - 2 : end - 1;
         return before < start || bytes[before] == '\n';
@@ -45,7 +58,8 @@
 
     /** Discards the pending bytes. */
     public void clear() {
-        mPending = new byte[0];
+        mBytes = new byte[0];
+        mLength = 0;
     }
 
     /**
@@ -54,6 +68,6 @@
      * @return the number of bytes
      */
     public int pendingBytes() {
-        return mPending.length;
+        return mLength;
     }
 }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -87,21 +87,27 @@
         return server;
     }
 
+    private void register(String id, String service, int port) {
+        mStore.put(
+                "servers/" + id, EngineStandIn.entry(service, port, EngineStandIn.baseModelOnly()));
+    }
+
     /** Registers a server that sends endless bytes. */
     public EndlessServer addEndlessServer(String id, String service, String responseStart) {
-        EndlessServer server = new EndlessServer(mVertx, responseStart);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return addEndlessServer(id, service, EndlessServer.Script.flood(responseStart, "x"));
+    }
+
+    /** Registers a server that sends endless bytes. */
+    public EndlessServer addEndlessServer(String id, String service, EndlessServer.Script script) {
+        EndlessServer server = new EndlessServer(mVertx, script);
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server whose responses end with their connections. */
     public UnframedServer addUnframedServer(String id, String service) {
         UnframedServer server = new UnframedServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
@@ -113,36 +119,28 @@
     /** Registers a server that sends the bytes of a script; it closes with RST if asked to. */
     public ScriptedServer addScriptedServer(String id, String service, boolean resetsOnClose) {
         ScriptedServer server = new ScriptedServer(mVertx, resetsOnClose);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server that cuts its responses. */
     public CutResponseServer addCutResponseServer(String id, String service) {
         CutResponseServer server = new CutResponseServer();
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server that writes earlier refusals once more. */
     public RepeatedRefusalServer addRepeatedRefusalServer(String id, String service) {
         RepeatedRefusalServer server = new RepeatedRefusalServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server that sends late copies of its responses. */
     public LateCopyServer addLateCopyServer(String id, String service) {
         LateCopyServer server = new LateCopyServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
@@ -283,11 +281,7 @@
 
     /** Sends a request for the base model to the first node and returns its response. */
     public HttpResponse<String> callBaseModel(String path, String id) {
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
         return send(0, mListenPort, withModel(request, "m"), path);
     }
 
@@ -314,23 +308,28 @@
     /** Sends a request with the given id to a node and returns its response. */
     public HttpResponse<String> call(int node, String path, String id, String body) {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString(body));
+                newRequest(id).POST(HttpRequest.BodyPublishers.ofString(body));
         if (path.startsWith("/chat/") || path.startsWith("/talk/")) {
             withModel(request, "m/a1");
         }
         return send(node, mListenPort, request, path);
     }
 
+    /** Returns a request for the base model as it goes over the wire to the first node. */
+    public String rawRequest(String path, String id, long deadlineMillis) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Fescuehollow-Attempt-Id: "
+                + id
+                + "\r\nX-Fescuehollow-Deadline-Ms: "
+                + deadlineMillis
+                + "\r\nX-Fescuehollow-Model: m\r\nX-Fescuehollow-Token-Usage: 100,10"
+                + "\r\nContent-Length: 1\r\n\r\nx";
+    }
+
     /** Sends a request for a model, without an adapter, to the first node. */
     public HttpResponse<String> callModel(String model, String id) {
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
         return send(0, mListenPort, withModel(request, model), "/chat/");
     }
 
@@ -346,6 +345,12 @@
         return send(node, mListenPort, withModel(request, "m"), path);
     }
 
+    private static HttpRequest.Builder newRequest(String id) {
+        return HttpRequest.newBuilder()
+                .header("X-Fescuehollow-Attempt-Id", id)
+                .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+    }
+
     private static HttpRequest.Builder withModel(HttpRequest.Builder request, String model) {
         return request.header("X-Fescuehollow-Model", model)
                 .header("X-Fescuehollow-Token-Usage", "100,10");
