--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -294,10 +294,9 @@
     public StreamedResponse streamAfter(
             CountDownLatch event, String path, String id, String... headers) {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder(uri(0, mListenPort, path))
+                newRequest(id)
+                        .uri(uri(0, mListenPort, path))
                         .timeout(TIMEOUT)
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
                         .POST(HttpRequest.BodyPublishers.ofString("x"));
         if (headers.length > 0) {
             request.headers(headers);
@@ -337,9 +336,7 @@
     public HttpResponse<String> callWithPrompt(int node, String path, String id, String... parts) {
         String prefix = Arrays.stream(parts).map(p -> p + ":10").collect(Collectors.joining(","));
         HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                newRequest(id)
                         .header("X-Fescuehollow-Prompt-Prefix", prefix)
                         .POST(HttpRequest.BodyPublishers.ofString("x"));
         return send(node, mListenPort, withModel(request, "m"), path);
