Responses: what all attempts hold of incomplete responses and events has one limit

A budget of 16 MiB for all attempts: a response that finds it used up is passed on before it is complete, a stream with an incomplete event ends. EventStreamReaderTest also asks that an event in single bytes costs time in proportion.

--- a/core/src/main/java/org/fescuehollow/streams/EventStreamReader.java
+++ b/core/src/main/java/org/fescuehollow/streams/EventStreamReader.java
@@ -114,6 +114,15 @@
         return hasEvents && mCutter.pendingBytes() == 0 && mDefect.isEmpty();
     }
 
+    /**
+     * Returns how many bytes wait for the end of their event.
+     *
+     * @return the number of bytes
+     */
+    public int pendingBytes() {
+        return mCutter.pendingBytes();
+    }
+
     /**
      * Returns the id of the last sound event.
      *
--- a/core/src/test/java/org/fescuehollow/streams/EventStreamReaderTest.java
+++ b/core/src/test/java/org/fescuehollow/streams/EventStreamReaderTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -164,6 +165,17 @@
         then(mReader.defect()).contains(EventDefect.TOO_LONG);
     }
 
+    /** Guards against work that grows with the square of the size of an event. */
+    @Test
+    @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void feed_ofSingleBytesTakesTimeInProportionToTheirNumber() {
+        feed("id: 1\ndata: ");
+        for (int i = 0; i < EventStreamReader.MAX_EVENT_BYTES - 20; i++) {
+            feed("x");
+        }
+        then(feed("\n\n")).hasSizeGreaterThan(EventStreamReader.MAX_EVENT_BYTES - 20);
+    }
+
     @ParameterizedTest
     @EnumSource(BodyFraming.class)
     void isWhole_needsAnEvent(BodyFraming framing) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -46,6 +46,7 @@
     private final Engine mEngine;
     private Optional<HttpClientRequest> mEngineRequest = Optional.empty();
     private Optional<EngineInactivityDetector.Stream> mStream = Optional.empty();
+    private Optional<ResponseRelay> mRelay = Optional.empty();
     private long mSentNanos;
     private boolean mReusesConnection;
     private boolean mAnswered;
@@ -181,6 +182,7 @@
         mEnded = true;
         mStream.ifPresent(this::closeStream);
         mStream = Optional.empty();
+        mRelay.ifPresent(ResponseRelay::release);
         return first;
     }
 
@@ -275,7 +277,9 @@
 
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
-        new ResponseRelay(mContext, mProxiedRequest, this, response, head).start();
+        ResponseRelay relay = new ResponseRelay(mContext, mProxiedRequest, this, response, head);
+        mRelay = Optional.of(relay);
+        relay.start();
     }
 
     /** Returns whether the attempt has ended, so that further bytes of its response are dropped. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.fescuehollow.admission.ByteBudget;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
@@ -46,6 +47,9 @@
     /** Other nodes can take a request at once that this one refuses as it stops. */
     private static final double DRAINING_RETRY_AFTER_SECONDS = 0.05;
 
+    /** About a sixth of the heap of a small VM. */
+    private static final long MAX_HELD_RESPONSE_BYTES = 16 * 1024 * 1024;
+
     private final NodeContext mNode;
     private final CatalogService mCatalog;
     private final Dispatcher mDispatcher;
@@ -62,6 +66,7 @@
     private final Set<HttpConnection> mUsedConnections =
             Collections.newSetFromMap(new IdentityHashMap<>());
     private final Map<String, EventIdSteps> mEventIdSteps = new HashMap<>();
+    private final ByteBudget mResponseBytes = new ByteBudget(MAX_HELD_RESPONSE_BYTES);
     private final CoalescedTask mDispatch;
     private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
     private final ResponseTimes mResponseTimes = new ResponseTimes();
@@ -161,6 +166,11 @@
                 mEventIdSteps.computeIfAbsent(service, s -> new EventIdSteps()));
     }
 
+    /** Returns the budget for the bytes of incomplete responses and events. */
+    ByteBudget responseBytes() {
+        return mResponseBytes;
+    }
+
     void countRequest(String service) {
         retryBudget(service).onRequest(now());
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
@@ -28,6 +28,7 @@
     private final HttpClientResponse mResponse;
     private final boolean mEventStream;
     private final Buffer mBuffered = Buffer.buffer();
+    private int mHeldBytes;
 
     ResponseRelay(
             RequestContext context,
@@ -62,6 +63,23 @@
         EventStreamReader events = mProxiedRequest.events();
         relay(Buffer.buffer(events.feed(data.getBytes())));
         events.defect().ifPresent(this::onDefect);
+        if (!mAttempt.hasEnded() && !tryHold(events.pendingBytes())) {
+            mAttempt.onFailure(new IllegalStateException("too many bytes of events are held"));
+        }
+    }
+
+    /** Sets how many bytes are held; returns false if all responses would then hold too many. */
+    private boolean tryHold(int bytes) {
+        release();
+        boolean taken = mContext.responseBytes().tryTake(bytes);
+        mHeldBytes = taken ? bytes : 0;
+        return taken;
+    }
+
+    /** Releases the bytes that are held; further calls have no effect. */
+    void release() {
+        mContext.responseBytes().release(mHeldBytes);
+        mHeldBytes = 0;
     }
 
     private void onDefect(EventDefect defect) {
@@ -76,7 +94,8 @@
             return;
         }
         mBuffered.appendBuffer(data);
-        if (mBuffered.length() > MAX_BUFFERED_BYTES) {
+        if (mBuffered.length() > MAX_BUFFERED_BYTES || !tryHold(mBuffered.length())) {
+            release();
             relay(mBuffered);
         }
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/EndlessBytesTest.java
@@ -82,7 +82,7 @@
     }
 
     private RawClient send(String path, String id, long deadlineMillis) {
-        return RawClient.send(mCluster.listenPort(), mCluster.rawRequest(path, id, deadlineMillis));
+        return RawClient.send(mCluster.listenPort(), RawClient.request(path, id, deadlineMillis));
     }
 
     private void thenOtherClientsAreServed() {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/RawClient.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/RawClient.java
@@ -44,4 +44,16 @@
             throw new UncheckedIOException(e);
         }
     }
+
+    /** Returns a request for the base model as it goes over the wire to the first node. */
+    public static String request(String path, String id, long deadlineMillis) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Fescuehollow-Attempt-Id: "
+                + id
+                + "\r\nX-Fescuehollow-Deadline-Ms: "
+                + deadlineMillis
+                + "\r\nX-Fescuehollow-Model: m\r\nX-Fescuehollow-Token-Usage: 100,10"
+                + "\r\nContent-Length: 1\r\n\r\nx";
+    }
 }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StreamedResponse.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StreamedResponse.java
@@ -43,6 +43,18 @@
         }
     }
 
+    /** Returns the status of a response, without its body; 0 if there is none. */
+    static int awaitStatus(HttpClient client, HttpRequest request) {
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofInputStream()).statusCode();
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.DEBUG, "the response broke off", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+
     private static String text(ByteArrayOutputStream body) {
         return body.toString(StandardCharsets.ISO_8859_1);
     }
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -241,7 +241,7 @@
         }
     }
 
-    /** Returns the port on which nodes accept the connections of clients. */
+    /** Returns the port for clients. */
     public int listenPort() {
         return mListenPort;
     }
@@ -293,15 +293,27 @@
     /** Reads the body of the response only after an event. */
     public StreamedResponse streamAfter(
             CountDownLatch event, String path, String id, String... headers) {
-        HttpRequest.Builder request =
-                newRequest(id)
-                        .uri(uri(0, mListenPort, path))
-                        .timeout(TIMEOUT)
-                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        HttpRequest.Builder request = modelRequest(path, id);
         if (headers.length > 0) {
             request.headers(headers);
         }
-        return StreamedResponse.read(mClient, withModel(request, "m").build(), event);
+        return StreamedResponse.read(mClient, request.build(), event);
+    }
+
+    private HttpRequest.Builder modelRequest(String path, String id) {
+        return withModel(newRequest(id), "m")
+                .uri(uri(0, mListenPort, path))
+                .timeout(TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString("x"));
+    }
+
+    /**
+     * Sends a request for the base model to the first node and awaits the status of its response.
+     */
+    public int awaitStatus(String path, String id) {
+        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
+        return StreamedResponse.awaitStatus(
+                mClient, withModel(request, "m").uri(uri(0, mListenPort, path)).build());
     }
 
     /** Sends a request with the given id to a node and returns its response. */
@@ -314,18 +326,6 @@
         return send(node, mListenPort, request, path);
     }
 
-    /** Returns a request for the base model as it goes over the wire to the first node. */
-    public String rawRequest(String path, String id, long deadlineMillis) {
-        return "POST "
-                + path
-                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Fescuehollow-Attempt-Id: "
-                + id
-                + "\r\nX-Fescuehollow-Deadline-Ms: "
-                + deadlineMillis
-                + "\r\nX-Fescuehollow-Model: m\r\nX-Fescuehollow-Token-Usage: 100,10"
-                + "\r\nContent-Length: 1\r\n\r\nx";
-    }
-
     /** Sends a request for a model, without an adapter, to the first node. */
     public HttpResponse<String> callModel(String model, String id) {
         HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
