--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -16,6 +16,7 @@
 import org.fescuehollow.dispatch.EngineHealth;
 import org.fescuehollow.dispatch.EngineInactivityDetector;
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.platform.InterimResponses;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
 
@@ -37,15 +38,8 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 120;
 
-    /**
-     * A longer response is relayed while it is received, so that the request can no longer be
-     * retried.
-     */
-    private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int STATUS_OK = 200;
-    private static final int FIRST_REDIRECT_STATUS = 300;
 
     private final RequestContext mContext;
     private final ProxiedRequest mProxiedRequest;
@@ -132,12 +126,13 @@
                 mEngine.id(),
                 mProxiedRequest.remainingMillis(),
                 Math.min(9, mProxiedRequest.route().rank()));
-        if (!mProxiedRequest.eventSplitter().lastEventId().isEmpty()) {
-            RequestHead.setLastEventId(
-                    request.headers(), mProxiedRequest.eventSplitter().lastEventId());
+        mProxiedRequest.events().resume();
+        if (!mProxiedRequest.events().lastEventId().isEmpty()) {
+            RequestHead.setLastEventId(request.headers(), mProxiedRequest.events().lastEventId());
         }
         mSentNanos = mContext.now();
         request.exceptionHandler(guarded(this::onBroken));
+        InterimResponses.limit(request, guarded(this::onBroken));
         request.response().onSuccess(guarded(this::onResponse)).onFailure(guarded(this::onBroken));
         mProxiedRequest.onSent();
         if (mProxiedRequest.route().kind() == RouteKind.STREAM) {
@@ -172,7 +167,8 @@
         }
     }
 
-    private void onFailure(Throwable cause) {
+    /** Ends the attempt, whose response is lost, with the cause for the log. */
+    void onFailure(Throwable cause) {
         if (markEnded()) {
             closeConnection();
             health().ifPresent(h -> h.onFailure(mContext.now()));
@@ -229,12 +225,16 @@
             onFailure(new IllegalStateException("response belongs to another request"));
             return;
         }
+        if (head.isInterim()) {
+            onFailure(new IllegalStateException("interim response in place of a final one"));
+            return;
+        }
         if (!head.isMisdirected()) {
             mContext.onResponseOf(mEngine, head);
         }
         if (head.notExecuted()) {
             onRefused(head);
-        } else if (isUnverified(head)) {
+        } else if (head.isUnverified()) {
             onFailure(new IllegalStateException("response without a valid seal of its server"));
         } else if (head.status() >= FIRST_SERVER_ERROR_STATUS && mProxiedRequest.tryTakeRetry()) {
             markEnded();
@@ -257,11 +257,6 @@
                 : !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
     }
 
-    private static boolean isUnverified(ResponseHead head) {
-        boolean success = head.status() >= STATUS_OK && head.status() < FIRST_REDIRECT_STATUS;
-        return success && (!head.sealed() || head.contentEncoded());
-    }
-
     private void onRefused(ResponseHead head) {
         markEnded();
         closeConnection();
@@ -280,106 +275,27 @@
 
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
-        if (isEventStream(head.status())) {
-            response.handler(guarded(b -> relayEvents(response, b)));
-            response.endHandler(guarded(v -> onRelayedEnd(response)));
-        } else {
-            Buffer buffered = Buffer.buffer();
-            response.handler(guarded(b -> buffer(response, buffered, b)));
-            response.endHandler(guarded(v -> onBufferedEnd(response, buffered)));
-        }
-    }
-
-    private boolean isEventStream(int status) {
-        return mProxiedRequest.route().kind() == RouteKind.STREAM && status == STATUS_OK;
+        new ResponseRelay(mContext, mProxiedRequest, this, response, head).start();
     }
 
-    private void buffer(HttpClientResponse response, Buffer buffered, Buffer data) {
-        if (mEnded) {
-            return;
-        }
-        if (mProxiedRequest.response().hasStarted()) {
-            relay(response, data);
-            return;
-        }
-        buffered.appendBuffer(data);
-        if (buffered.length() > MAX_BUFFERED_BYTES) {
-            relay(response, buffered);
-        }
+    /** Returns whether the attempt has ended, so that further bytes of its response are dropped. */
+    boolean hasEnded() {
+        return mEnded;
     }
 
-    private void onBufferedEnd(HttpClientResponse response, Buffer buffered) {
-        if (mProxiedRequest.response().hasStarted()) {
-            onRelayedEnd(response);
-        } else {
-            sendBuffered(response, buffered);
-        }
-    }
-
-    private void relayEvents(HttpClientResponse response, Buffer data) {
-        relay(response, mProxiedRequest.eventSplitter().feed(data));
-        if (mProxiedRequest.eventSplitter().isPartialEventTooLong()) {
-            onFailure(new IllegalStateException("event exceeds the maximum size"));
-        }
-    }
-
-    private void relay(HttpClientResponse response, Buffer data) {
-        if (mEnded || data.length() == 0) {
-            return;
-        }
+    /**
+     * Records that bytes of the response, with whole events if it is a stream, go to the client.
+     */
+    void onBytesRelayed() {
         markAnswered();
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
-        startResponse(response);
-        mProxiedRequest.response().write(data);
-        if (mProxiedRequest.response().isWriteQueueFull()) {
-            response.pause();
-            mProxiedRequest.response().onDrain(guarded(v -> response.resume()));
-        }
     }
 
-    private void startResponse(HttpClientResponse response) {
-        if (!mProxiedRequest.response().hasStarted()) {
-            recordFirstByte();
-            mProxiedRequest
-                    .response()
-                    .sendHead(
-                            response.statusCode(),
-                            response.headers(),
-                            isEventStream(response.statusCode()));
-        }
-    }
-
-    private void onRelayedEnd(HttpClientResponse response) {
-        if (mEnded) {
-            return;
-        }
-        if (mProxiedRequest.eventSplitter().hasPartialEvent()) {
-            onFailure(new IllegalStateException("stream ended within an event"));
-            return;
-        }
+    /** Ends the attempt with the end of a whole response. */
+    void onDelivered(int status) {
         markEnded();
-        recordHealth(response.statusCode());
-        startResponse(response);
-        mProxiedRequest.response().end();
-        mProxiedRequest.onDelivered(mEngine, response.statusCode());
-    }
-
-    private void sendBuffered(HttpClientResponse response, Buffer body) {
-        if (!markEnded()) {
-            return;
-        }
         markAnswered();
-        recordHealth(response.statusCode());
-        recordFirstByte();
-        mProxiedRequest.response().sendComplete(response.statusCode(), response.headers(), body);
-        mProxiedRequest.onDelivered(mEngine, response.statusCode());
-    }
-
-    private void recordFirstByte() {
-        long elapsedNanos = mContext.now() - mProxiedRequest.dispatchRequest().arrivalNanos();
-        mContext.node()
-                .metrics()
-                .recordFirstByte(mProxiedRequest.dispatchRequest().service(), elapsedNanos);
+        recordHealth(status);
     }
 
     private void recordHealth(int status) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import org.fescuehollow.dispatch.Placement;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.platform.RequestHead;
+import org.fescuehollow.streams.EventStreamReader;
 
 /**
  * One client request, from its arrival to the end of its response.
@@ -21,9 +22,6 @@
  * have run. Not thread-safe; used on the node's event loop.
  */
 final class ProxiedRequest {
-    /** A retry with less time than this left can't be answered before the deadline. */
-    private static final long MIN_RETRY_NANOS = Duration.ofMillis(60).toNanos();
-
     private final RequestContext mContext;
     private final HttpServerRequest mClientRequest;
     private final Buffer mBody;
@@ -34,7 +32,7 @@
     private final RequestTraits mTraits;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
-    private final SseEventSplitter mEventSplitter = new SseEventSplitter();
+    private final EventStreamReader mEvents;
     private final Set<String> mExcludedEngines = new HashSet<>();
     private Optional<Attempt> mAttempt = Optional.empty();
     private boolean mMayHaveRun;
@@ -60,8 +58,9 @@
         mDispatchRequest = dispatchRequest;
         mResponse = new ClientResponse(context, request);
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
+        mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
-        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> onException());
+        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
     }
 
     DispatchRequest dispatchRequest() {
@@ -84,8 +83,8 @@
         return mResponse;
     }
 
-    SseEventSplitter eventSplitter() {
-        return mEventSplitter;
+    EventStreamReader events() {
+        return mEvents;
     }
 
     boolean isDone() {
@@ -108,7 +107,7 @@
     }
 
     void start() {
-        mContext.onRequestStarted();
+        mContext.onRequestStarted(this);
         mGuard.run(this::startGuarded);
     }
 
@@ -157,6 +156,11 @@
             fail(mMayHaveRun ? GatewayError.ANSWER_LOST : GatewayError.CRASHES_ENGINES);
             return true;
         }
+        if (!mContext.maySend(mDispatchRequest, mRoute)) {
+            mWaitReason = "STOPPING";
+            giveUp();
+            return true;
+        }
         long now = mContext.now();
         Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
         if (placement instanceof Placement.Send send) {
@@ -220,7 +224,7 @@
         mRuns -= reachedEngine ? 1 : 0;
         mExcludedEngines.add(engine.id());
         boolean mayRetry =
-                hasTimeToRetry()
+                QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
                         && (!reachedEngine || mContext.tryRetry(mDispatchRequest.service()));
         if (mayRetry) {
             placeOrWait();
@@ -235,7 +239,6 @@
         mMayHaveRun = true;
         if (tryTakeRetry()) {
             mExcludedEngines.add(engine.id());
-            mEventSplitter.dropPartialEvent();
             onStreamInterrupted();
             placeOrWait();
         } else {
@@ -267,7 +270,7 @@
         return mRoute.isRetryable()
                 && mResponse.acceptsEvents()
                 && mRuns < mRoute.maxAttempts()
-                && hasTimeToRetry();
+                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now());
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
@@ -275,7 +278,6 @@
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         mExcludedEngines.add(engine.id());
-        mEventSplitter.dropPartialEvent();
         onStreamInterrupted();
         placeOrWait();
     }
@@ -303,10 +305,6 @@
         return false;
     }
 
-    private boolean hasTimeToRetry() {
-        return mDispatchRequest.deadlineNanos() - mContext.now() > MIN_RETRY_NANOS;
-    }
-
     /** Handles the complete delivery of an engine's response. */
     void onDelivered(Engine engine, int status) {
         onAttemptEnded(engine, "status " + status);
@@ -355,8 +353,7 @@
             finish("aborted", error.code() + (mWaitReason.isEmpty() ? "" : " " + mWaitReason));
             return;
         }
-        double retryAfterSeconds = QueueTimeout.retryAfterSeconds(mDispatchRequest, mContext.now());
-        mResponse.sendError(error, mHead.attemptId(), retryAfterSeconds);
+        mResponse.sendError(error, mHead.attemptId(), mContext.retryAfterSeconds(mDispatchRequest));
         finish(error.code(), mWaitReason);
     }
 
@@ -367,8 +364,8 @@
         }
     }
 
-    /** Ends the request after an exception, with an error that tells whether it may have run. */
-    private void onException() {
+    /** Ends the request at once, with an error that tells whether it may have run. */
+    void endNow() {
         if (mDone) {
             return;
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
 import java.util.Collections;
@@ -8,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.fescuehollow.catalog.AdapterKey;
@@ -19,14 +21,19 @@
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.dispatch.WaitQueue;
 import org.fescuehollow.dispatch.WindowedRetryBudget;
+import org.fescuehollow.drain.DrainSchedule;
+import org.fescuehollow.drain.ResponseTimes;
 import org.fescuehollow.gateway.exchange.ExchangeService;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.gateway.node.NodeSettings;
 import org.fescuehollow.gateway.orders.OrderService;
 import org.fescuehollow.gateway.store.CatalogService;
+import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
 import org.fescuehollow.residency.AdapterDemand;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.streams.EventIdSteps;
+import org.fescuehollow.streams.EventStreamReader;
 
 /** The state that all requests of a node share. Not thread-safe; used on the node's event loop. */
 final class RequestContext {
@@ -36,6 +43,9 @@
      */
     static final long SILENCE_CHECK_MILLIS = 100;
 
+    /** Other nodes can take a request at once that this one refuses as it stops. */
+    private static final double DRAINING_RETRY_AFTER_SECONDS = 0.05;
+
     private final NodeContext mNode;
     private final CatalogService mCatalog;
     private final Dispatcher mDispatcher;
@@ -51,9 +61,14 @@
     private final Map<EngineInactivityDetector.Stream, Attempt> mStreams = new HashMap<>();
     private final Set<HttpConnection> mUsedConnections =
             Collections.newSetFromMap(new IdentityHashMap<>());
+    private final Map<String, EventIdSteps> mEventIdSteps = new HashMap<>();
     private final CoalescedTask mDispatch;
-    private int mOpenRequests;
-    private boolean mDraining;
+    private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
+    private final ResponseTimes mResponseTimes = new ResponseTimes();
+    private Optional<DrainSchedule> mDrainSchedule = Optional.empty();
+    private final Set<HttpConnection> mClosingConnections =
+            Collections.newSetFromMap(new IdentityHashMap<>());
+    private int mUnflushedResponses;
     private boolean mClosed;
 
     RequestContext(
@@ -138,6 +153,14 @@
                                 (long) (settings.retryWindowSeconds() * 1e9)));
     }
 
+    /** Returns a reader for the events of a request, which may be a resumed one. */
+    EventStreamReader newEventReader(Route route, RequestHead head, String service) {
+        return new EventStreamReader(
+                route.isRetryable() ? head.lastEventId() : "",
+                ResponseHead.EVENT_HEAD_FIELD,
+                mEventIdSteps.computeIfAbsent(service, s -> new EventIdSteps()));
+    }
+
     void countRequest(String service) {
         retryBudget(service).onRequest(now());
     }
@@ -220,13 +243,17 @@
         }
     }
 
-    void onRequestStarted() {
-        mOpenRequests++;
+    void onRequestStarted(ProxiedRequest request) {
+        mOpen.add(request);
     }
 
     /** Records that a request has ended; called once for each. */
     void onRequestEnded(ProxiedRequest request) {
-        mOpenRequests--;
+        if (request.response().isCompleteSuccess()) {
+            mResponseTimes.record(
+                    request.route().name(), now() - request.dispatchRequest().arrivalNanos());
+        }
+        mOpen.remove(request);
         mSent.remove(request);
         mWaitQueue.remove(request);
     }
@@ -250,15 +277,59 @@
     }
 
     int openRequests() {
-        return mOpenRequests;
+        return mOpen.size();
+    }
+
+    /** Ends all open requests, each with an error that tells whether it may have run. */
+    void endAll() {
+        List.copyOf(mOpen).forEach(ProxiedRequest::endNow);
+    }
+
+    /** Records that a response on a connection announces its close. */
+    void markClosing(HttpConnection connection) {
+        mClosingConnections.add(connection);
+    }
+
+    boolean isClosing(HttpConnection connection) {
+        return mClosingConnections.contains(connection);
+    }
+
+    void onConnectionClosed(HttpConnection connection) {
+        mClosingConnections.remove(connection);
+    }
+
+    /** Records that the last bytes of a response are being written, until the future completes. */
+    void onResponseEnding(Future<Void> written) {
+        mUnflushedResponses++;
+        written.onComplete(r -> mUnflushedResponses--);
+    }
+
+    /** Returns whether all responses that have ended were written to their connections. */
+    boolean isFlushed() {
+        return mUnflushedResponses == 0;
+    }
+
+    /**
+     * Returns whether a request may be sent to an engine, as far as a planned stop is concerned.
+     */
+    boolean maySend(DispatchRequest request, Route route) {
+        return mDrainSchedule
+                .map(d -> d.maySend(request, route, mResponseTimes.usualNanos(route.name()), now()))
+                .orElse(true);
+    }
+
+    /** Returns when the client of a rejected request should retry, in seconds. */
+    double retryAfterSeconds(DispatchRequest request) {
+        double seconds = QueueTimeout.retryAfterSeconds(request, now());
+        return isDraining() ? Math.min(DRAINING_RETRY_AFTER_SECONDS, seconds) : seconds;
     }
 
-    void startDraining() {
-        mDraining = true;
+    void startDraining(DrainSchedule schedule) {
+        mDrainSchedule = Optional.of(schedule);
     }
 
     boolean isDraining() {
-        return mDraining;
+        return mDrainSchedule.isPresent();
     }
 
     /** Rejects all further requests. */
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +54,7 @@
     private int mLatencyObjectiveMillis = 15_000;
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
+    private final List<EntryProcess> mProcesses = new ArrayList<>();
     private final int mListenPort = freePort();
     private final int mReadinessPort = freePort();
     private final int mExchangePort = freePort();
@@ -85,39 +87,60 @@
         return server;
     }
 
+    private void register(String id, String service, int port) {
+        mStore.put(
+                "servers/" + id, EngineStandIn.entry(service, port, EngineStandIn.baseModelOnly()));
+    }
+
     /** Registers a server that sends endless bytes. */
     public EndlessServer addEndlessServer(String id, String service, String responseStart) {
-        EndlessServer server = new EndlessServer(mVertx, responseStart);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        return addEndlessServer(id, service, EndlessServer.Script.flood(responseStart, "x"));
+    }
+
+    /** Registers a server that sends endless bytes. */
+    public EndlessServer addEndlessServer(String id, String service, EndlessServer.Script script) {
+        EndlessServer server = new EndlessServer(mVertx, script);
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server whose responses end with their connections. */
     public UnframedServer addUnframedServer(String id, String service) {
         UnframedServer server = new UnframedServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
+        return server;
+    }
+
+    /** Registers a server that sends the bytes of a script and closes with FIN. */
+    public ScriptedServer addScriptedServer(String id, String service) {
+        return addScriptedServer(id, service, false);
+    }
+
+    /** Registers a server that sends the bytes of a script; it closes with RST if asked to. */
+    public ScriptedServer addScriptedServer(String id, String service, boolean resetsOnClose) {
+        ScriptedServer server = new ScriptedServer(mVertx, resetsOnClose);
+        register(id, service, server.port());
+        return server;
+    }
+
+    /** Registers a server that cuts its responses. */
+    public CutResponseServer addCutResponseServer(String id, String service) {
+        CutResponseServer server = new CutResponseServer();
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server that writes earlier refusals once more. */
     public RepeatedRefusalServer addRepeatedRefusalServer(String id, String service) {
         RepeatedRefusalServer server = new RepeatedRefusalServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
     /** Registers a server that sends late copies of its responses. */
     public LateCopyServer addLateCopyServer(String id, String service) {
         LateCopyServer server = new LateCopyServer(mVertx);
-        mStore.put(
-                "servers/" + id,
-                EngineStandIn.entry(service, server.port(), EngineStandIn.baseModelOnly()));
+        register(id, service, server.port());
         return server;
     }
 
@@ -201,6 +224,28 @@
         await(() -> readiness(0) == 200);
     }
 
+    /** Starts the first node in a process of its own. */
+    public EntryProcess startProcess() {
+        EntryProcess process = new EntryProcess(settings(0));
+        mProcesses.add(process);
+        await(() -> process.isAlive() && isReady());
+        return process;
+    }
+
+    private boolean isReady() {
+        try {
+            return readiness(0) == 200;
+        } catch (IllegalStateException e) {
+            LOG.log(System.Logger.Level.DEBUG, "not ready", e);
+            return false;
+        }
+    }
+
+    /** Returns the port on which nodes accept the connections of clients. */
+    public int listenPort() {
+        return mListenPort;
+    }
+
     private String settings(int i) {
         String ip = "127.0.0." + (i + 1);
         return new JsonObject()
@@ -236,34 +281,54 @@
 
     /** Sends a request for the base model to the first node and returns its response. */
     public HttpResponse<String> callBaseModel(String path, String id) {
+        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
+        return send(0, mListenPort, withModel(request, "m"), path);
+    }
+
+    /** Sends a request for the base model to the first node and reads its response to the end. */
+    public StreamedResponse stream(String path, String id, String... headers) {
+        return streamAfter(new CountDownLatch(0), path, id, headers);
+    }
+
+    /** Reads the body of the response only after an event. */
+    public StreamedResponse streamAfter(
+            CountDownLatch event, String path, String id, String... headers) {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                newRequest(id)
+                        .uri(uri(0, mListenPort, path))
+                        .timeout(TIMEOUT)
                         .POST(HttpRequest.BodyPublishers.ofString("x"));
-        return send(0, mListenPort, withModel(request, "m"), path);
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return StreamedResponse.read(mClient, withModel(request, "m").build(), event);
     }
 
     /** Sends a request with the given id to a node and returns its response. */
     public HttpResponse<String> call(int node, String path, String id, String body) {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString(body));
+                newRequest(id).POST(HttpRequest.BodyPublishers.ofString(body));
         if (path.startsWith("/chat/") || path.startsWith("/talk/")) {
             withModel(request, "m/a1");
         }
         return send(node, mListenPort, request, path);
     }
 
+    /** Returns a request for the base model as it goes over the wire to the first node. */
+    public String rawRequest(String path, String id, long deadlineMillis) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Fescuehollow-Attempt-Id: "
+                + id
+                + "\r\nX-Fescuehollow-Deadline-Ms: "
+                + deadlineMillis
+                + "\r\nX-Fescuehollow-Model: m\r\nX-Fescuehollow-Token-Usage: 100,10"
+                + "\r\nContent-Length: 1\r\n\r\nx";
+    }
+
     /** Sends a request for a model, without an adapter, to the first node. */
     public HttpResponse<String> callModel(String model, String id) {
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
         return send(0, mListenPort, withModel(request, model), "/chat/");
     }
 
@@ -271,14 +336,18 @@
     public HttpResponse<String> callWithPrompt(int node, String path, String id, String... parts) {
         String prefix = Arrays.stream(parts).map(p -> p + ":10").collect(Collectors.joining(","));
         HttpRequest.Builder request =
-                HttpRequest.newBuilder()
-                        .header("X-Fescuehollow-Attempt-Id", id)
-                        .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+                newRequest(id)
                         .header("X-Fescuehollow-Prompt-Prefix", prefix)
                         .POST(HttpRequest.BodyPublishers.ofString("x"));
         return send(node, mListenPort, withModel(request, "m"), path);
     }
 
+    private static HttpRequest.Builder newRequest(String id) {
+        return HttpRequest.newBuilder()
+                .header("X-Fescuehollow-Attempt-Id", id)
+                .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+    }
+
     private static HttpRequest.Builder withModel(HttpRequest.Builder request, String model) {
         return request.header("X-Fescuehollow-Model", model)
                 .header("X-Fescuehollow-Token-Usage", "100,10");
@@ -286,9 +355,9 @@
 
     private HttpResponse<String> send(
             int node, int port, HttpRequest.Builder request, String path) {
-        URI uri = URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
+        HttpRequest sent = request.uri(uri(node, port, path)).build();
         try {
-            return mClient.sendAsync(request.uri(uri).build(), HttpResponse.BodyHandlers.ofString())
+            return mClient.sendAsync(sent, HttpResponse.BodyHandlers.ofString())
                     .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
         } catch (ExecutionException e) {
             throw new IllegalStateException(e.getCause());
@@ -300,6 +369,10 @@
         }
     }
 
+    private static URI uri(int node, int port, String path) {
+        return URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
+    }
+
     /** Waits until a condition holds, and fails if it does not within the timeout. */
     public static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + TIMEOUT.toNanos();
@@ -319,6 +392,7 @@
     @Override
     public void close() {
         mNodes.forEach(EntryNode::stop);
+        mProcesses.forEach(EntryProcess::close);
         mVertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
--- a/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
+++ b/server/src/test/java/org/fescuehollow/server/backend/SseReaderTest.java
@@ -14,8 +14,12 @@
 import net.jqwik.api.constraints.Size;
 import org.fescuehollow.error.FescuehollowException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SseReaderTest {
+    private static final int LONG_EVENT_BYTES = 1024 * 1024;
     private static final String EVENTS =
             "data: {\"model\": \"a@v1\", \"x\": 1}\n\ndata: {\"x\": 2}\r\n\r\ndata: [DONE]\n\n";
 
@@ -53,6 +57,32 @@
         }
     }
 
+    /** Guards against text of a faulty backend server in the middle of a stream. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "internal error\n\n",
+                "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
+                "id: 1\n\n",
+                "data: {\"x\": \u0007}\n\n"
+            })
+    void feed_refusesBytesThatAreNoEvent(String bytes) {
+        // GIVEN
+        SseReader reader = new SseReader("a@v1", 1_000);
+        reader.feed(Buffer.buffer(EVENTS.substring(0, EVENTS.indexOf("data: {\"x\": 2"))));
+        // WHEN / THEN
+        thenThrownBy(() -> reader.feed(Buffer.buffer(bytes))).hasMessageContaining("no event");
+    }
+
+    @Test
+    void feed_passesOnComments() {
+        // GIVEN
+        SseReader reader = new SseReader("a@v1", 1_000);
+        // WHEN / THEN
+        then(reader.feed(Buffer.buffer(": ping\n\n"))).hasToString(": ping\n\n");
+        then(reader.feed(Buffer.buffer(EVENTS))).hasToString(EVENTS);
+    }
+
     @Test
     void feed_refusesAnotherAdaptersAnswer() {
         // GIVEN
@@ -80,4 +110,15 @@
         // THEN
         then(reader.isWhole()).isFalse();
     }
+
+    @Test
+    @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void feed_ofSingleBytesTakesTimeInProportionToTheirNumber() {
+        SseReader reader = new SseReader("a@v1", LONG_EVENT_BYTES);
+        Buffer data = Buffer.buffer("x");
+        for (int i = 0; i < LONG_EVENT_BYTES; i++) {
+            then(reader.feed(data).length()).isZero();
+        }
+        thenThrownBy(() -> reader.feed(data)).isInstanceOf(FescuehollowException.class);
+    }
 }
