--- a/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
+++ b/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
@@ -9,8 +9,8 @@
 /**
  * The phases of a planned stop, and which requests may still be sent to an engine.
  *
- * <p>Failure pattern: a request is sent late in the grace period, and the process exits while its
- * engine is at work. A request that is refused unsent is soon served by another node.
+ * <p>A request that is sent late in the grace period would be cut off if the process exits while
+ * its engine is at work; one that is refused unsent is soon served by another node.
  *
  * <p>Invariant: a request that may not be sent at one time may not be sent at any later time.
  * Immutable and safe for use by any thread. Times are monotonic, in nanoseconds.
--- a/core/src/main/java/org/fescuehollow/streams/EventFields.java
+++ b/core/src/main/java/org/fescuehollow/streams/EventFields.java
@@ -4,6 +4,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -12,7 +13,8 @@
  * repaired. A line is a comment, or one of the fields id, data, event and retry; all lines of an
  * event end alike.
  *
- * <p>Immutable and safe for use by any thread.
+ * <p>Invariant: does not change once {@link #parse} has returned it. Safe for use by any thread
+ * that gets it safely.
  */
 public final class EventFields {
     private final byte[] mBlock;
@@ -29,8 +31,7 @@
         RETRY;
 
         private final byte[] mPrefix =
-                (name().toLowerCase(java.util.Locale.ROOT) + ":")
-                        .getBytes(StandardCharsets.US_ASCII);
+                (name().toLowerCase(Locale.ROOT) + ":").getBytes(StandardCharsets.US_ASCII);
 
         static Optional<Field> of(byte[] block, int start, int end) {
             return Stream.of(values()).filter(f -> f.startsLine(block, start, end)).findFirst();
