--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
@@ -0,0 +1,63 @@
+package org.fescuehollow.responses;
+
+/**
+ * Finds the status line of a second response within the parts of a head: in the reason phrase, or
+ * in a line that was read as a field. One byte of it may be wrong.
+ *
+ * <p>Stateless and safe for use by any thread.
+ */
+final class StatusLinePattern {
+    /** A 0 stands for any digit. */
+    private static final String VERSION = "HTTP/0.0";
+
+    private static final String LINE = VERSION + " 000";
+
+    private StatusLinePattern() {}
+
+    /** Returns whether a text contains a version and a status. */
+    static boolean isWithin(String text) {
+        return contains(text, LINE);
+    }
+
+    /**
+     * Returns whether a field was made of a status line. Of a line without a colon, the HTTP
+     * decoder keeps what precedes the first space, as a name without a value.
+     */
+    static boolean isWithinField(String name, String value) {
+        return isWithin(name + ':' + value)
+                || value.isEmpty() && (contains(name, VERSION) || endsWithStart(name));
+    }
+
+    private static boolean contains(String text, String pattern) {
+        for (int start = 0; start + pattern.length() <= text.length(); start++) {
+            if (mismatches(text, start, pattern) <= 1) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int mismatches(String text, int start, String pattern) {
+        int count = 0;
+        for (int i = 0; i < pattern.length() && count <= 1; i++) {
+            char c = text.charAt(start + i);
+            boolean matches = pattern.charAt(i) == '0' ? isDigit(c) : c == pattern.charAt(i);
+            count += matches ? 0 : 1;
+        }
+        return count;
+    }
+
+    private static boolean isDigit(char c) {
+        return c >= '0' && c <= '9';
+    }
+
+    /** Returns whether a name ends with the start of a version, which a space has cut off. */
+    private static boolean endsWithStart(String name) {
+        for (int length = 1; length <= VERSION.indexOf('/'); length++) {
+            if (name.endsWith(VERSION.substring(0, length))) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -19,6 +19,8 @@
 import org.fescuehollow.platform.InterimResponses;
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
+import org.fescuehollow.platform.ResponseHeads;
+import org.fescuehollow.responses.RequestIdentity;
 
 /**
  * One attempt to run a request at one engine.
@@ -222,6 +224,13 @@
         }
         response.exceptionHandler(guarded(this::onBroken));
         ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
+        RequestIdentity request =
+                new RequestIdentity(mProxiedRequest.dispatchRequest().id(), mReusesConnection);
+        ResponseHeads.findDefect(response, request)
+                .ifPresent(
+                        d ->
+                                ResponseHeadLog.logDefect(
+                                        mContext.node(), d, request, mEngine, response));
         if (mayBelongToOtherRequest(head)) {
             mContext.node().metrics().countEvent("response_of_other_request");
             onFailure(new IllegalStateException("response belongs to another request"));
--- /dev/null
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseHeadLog.java
@@ -0,0 +1,49 @@
+package org.fescuehollow.gateway.calls;
+
+import io.vertx.core.http.HttpClientResponse;
+import java.util.stream.Collectors;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.responses.HeadDefect;
+import org.fescuehollow.responses.RequestIdentity;
+
+/** Log lines about the heads of responses. Stateless. */
+final class ResponseHeadLog {
+    private static final int MAX_TEXT_CHARS = 200;
+
+    private ResponseHeadLog() {}
+
+    static void logDefect(
+            NodeContext node,
+            HeadDefect defect,
+            RequestIdentity request,
+            Engine engine,
+            HttpClientResponse response) {
+        node.metrics().countEvent("head_defect");
+        node.log()
+                .event(
+                        "head_defect",
+                        "id",
+                        request.id(),
+                        "engine",
+                        engine.id(),
+                        "cause",
+                        defect.text(),
+                        "used",
+                        request.usedConnection(),
+                        "status",
+                        response.statusCode(),
+                        "reason",
+                        printable(String.valueOf(response.statusMessage())),
+                        "fields",
+                        printable(String.join(",", response.headers().names())));
+    }
+
+    /** Returns the start of a text without control characters, which a server may have sent. */
+    private static String printable(String text) {
+        return text.chars()
+                .limit(MAX_TEXT_CHARS)
+                .mapToObj(c -> c > ' ' && c < 0x7f ? String.valueOf((char) c) : "?")
+                .collect(Collectors.joining());
+    }
+}
