--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -53,6 +54,7 @@
     private final Vertx mVertx;
     private final NetServer mServer;
     private final List<Request> mRequests = Collections.synchronizedList(new ArrayList<>());
+    private final AtomicLong mAnswersSent = new AtomicLong();
     private volatile Function<Request, Answer> mScript = r -> Answer.inOnePacket("", Ending.CLOSE);
 
     ScriptedServer(Vertx vertx, boolean resetsOnClose) {
@@ -82,6 +84,11 @@
         return List.copyOf(mRequests);
     }
 
+    /** Returns the number of answers whose last packet was sent. */
+    public long answersSent() {
+        return mAnswersSent.get();
+    }
+
     private void onConnection(NetSocket socket) {
         StringBuilder received = new StringBuilder();
         socket.exceptionHandler(e -> socket.close());
@@ -110,7 +117,10 @@
                                     mVertx.setTimer(
                                             PACKET_GAP_MILLIS,
                                             t -> send(socket, answer, packet + 1)));
-        } else if (answer.ending() != Ending.KEEP_OPEN) {
+            return;
+        }
+        mAnswersSent.incrementAndGet();
+        if (answer.ending() != Ending.KEEP_OPEN) {
             socket.close();
         }
     }
