Fix: a head joined from two responses passed for a response of the engine

Cause: a head was taken for sound by single headers of it. The HTTP decoder completes a late copy that is cut off within its head with the next head on the connection: status of the copy, id, seal and body of the next response. Nobody notices the cut head while the connection is idle, as the decoder emits nothing before the blank line.

ResponseHeadCheck now decides for the attempt whether a head is one response to its request, as a whole: status, reason phrase, names and values of all fields, fields that may occur once, transfer coding, id.

A response without an id is now rejected on new connections too: engines repeat the id in every response. The stand-in's refusal lacked it and has it now.

--- a/core/src/main/java/org/fescuehollow/responses/HeadDefect.java
+++ b/core/src/main/java/org/fescuehollow/responses/HeadDefect.java
@@ -22,7 +22,7 @@
     CONNECTION_OPTION,
     /** The response names another request. */
     OTHER_REQUEST,
-    /** The response names no request, on a connection that was used for an earlier one. */
+    /** The response names no request. */
     NO_REQUEST;
 
     /**
--- a/core/src/main/java/org/fescuehollow/responses/ResponseHeadCheck.java
+++ b/core/src/main/java/org/fescuehollow/responses/ResponseHeadCheck.java
@@ -71,14 +71,14 @@
      * @param status the status
      * @param reason the reason phrase; empty if there is none
      * @param fields the names and values of all fields, in any case of letters
-     * @param request the request that was sent
+     * @param requestId the id of the request, which the server repeats; empty if it has none
      * @return the first defect found; empty if the head is sound
      */
     public Optional<HeadDefect> findDefect(
             int status,
             String reason,
             Iterable<Map.Entry<String, String>> fields,
-            RequestIdentity request) {
+            String requestId) {
         Optional<HeadDefect> defect = findStatusDefect(status, reason);
         Set<String> single = new HashSet<>();
         String id = "";
@@ -93,14 +93,14 @@
             }
             id = name.equals(mIdField) ? field.getValue().strip() : id;
         }
-        return defect.isPresent() ? defect : findOwnerDefect(id, request);
+        return defect.isPresent() ? defect : findOwnerDefect(id, requestId);
     }
 
     private static Optional<HeadDefect> findStatusDefect(int status, String reason) {
         if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
             return Optional.of(HeadDefect.STATUS);
         }
-        if (StatusLinePattern.isWithin(reason)) {
+        if (StatusLinePattern.isWithinReason(reason)) {
             return Optional.of(HeadDefect.SECOND_STATUS_LINE);
         }
         return isText(reason) ? Optional.empty() : Optional.of(HeadDefect.REASON_PHRASE);
@@ -131,11 +131,11 @@
         };
     }
 
-    private static Optional<HeadDefect> findOwnerDefect(String id, RequestIdentity request) {
-        if (id.isEmpty()) {
-            return request.usedConnection() ? Optional.of(HeadDefect.NO_REQUEST) : Optional.empty();
+    private static Optional<HeadDefect> findOwnerDefect(String id, String requestId) {
+        if (id.equals(requestId)) {
+            return Optional.empty();
         }
-        return id.equals(request.id()) ? Optional.empty() : Optional.of(HeadDefect.OTHER_REQUEST);
+        return Optional.of(id.isEmpty() ? HeadDefect.NO_REQUEST : HeadDefect.OTHER_REQUEST);
     }
 
     private static boolean isToken(String name) {
--- a/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
+++ b/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
@@ -14,9 +14,12 @@
 
     private StatusLinePattern() {}
 
-    /** Returns whether a text contains a version and a status. */
-    static boolean isWithin(String text) {
-        return contains(text, LINE);
+    /**
+     * Returns whether a reason phrase contains a version and a status. The HTTP decoder drops the
+     * space before the phrase, which may be a wrong byte of the second status line.
+     */
+    static boolean isWithinReason(String reason) {
+        return contains(' ' + reason, LINE);
     }
 
     /**
@@ -24,7 +27,7 @@
      * decoder keeps what precedes the first space, as a name without a value.
      */
     static boolean isWithinField(String name, String value) {
-        return isWithin(name + ':' + value)
+        return contains(name + ':' + value, LINE)
                 || value.isEmpty() && (contains(name, VERSION) || endsWithStart(name));
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -20,7 +20,7 @@
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.platform.ResponseHead;
 import org.fescuehollow.platform.ResponseHeads;
-import org.fescuehollow.responses.RequestIdentity;
+import org.fescuehollow.responses.HeadDefect;
 
 /**
  * One attempt to run a request at one engine.
@@ -223,23 +223,15 @@
             return;
         }
         response.exceptionHandler(guarded(this::onBroken));
-        ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
-        RequestIdentity request =
-                new RequestIdentity(mProxiedRequest.dispatchRequest().id(), mReusesConnection);
-        ResponseHeads.findDefect(response, request)
-                .ifPresent(
-                        d ->
-                                ResponseHeadLog.logDefect(
-                                        mContext.node(), d, request, mEngine, response));
-        if (mayBelongToOtherRequest(head)) {
-            mContext.node().metrics().countEvent("response_of_other_request");
-            onFailure(new IllegalStateException("response belongs to another request"));
-            return;
-        }
-        if (head.isInterim()) {
-            onFailure(new IllegalStateException("interim response in place of a final one"));
+        String id = mProxiedRequest.dispatchRequest().id();
+        Optional<HeadDefect> defect = ResponseHeads.findDefect(response, id);
+        if (defect.isPresent()) {
+            ResponseHeadLog.logDefect(
+                    mContext.node(), defect.get(), id, mReusesConnection, mEngine, response);
+            onFailure(new IllegalStateException("no sound head: " + defect.get().text()));
             return;
         }
+        ResponseHead head = ResponseHead.of(response.statusCode(), response.headers());
         if (!head.isMisdirected()) {
             mContext.onResponseOf(mEngine, head);
         }
@@ -261,13 +253,6 @@
         }
     }
 
-    /** A response without an id on a used connection may be an earlier one, written once more. */
-    private boolean mayBelongToOtherRequest(ResponseHead head) {
-        return head.attemptId().isEmpty()
-                ? mReusesConnection
-                : !head.attemptId().equals(mProxiedRequest.dispatchRequest().id());
-    }
-
     private void onRefused(ResponseHead head) {
         markEnded();
         closeConnection();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseHeadLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseHeadLog.java
@@ -5,7 +5,6 @@
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.gateway.node.NodeContext;
 import org.fescuehollow.responses.HeadDefect;
-import org.fescuehollow.responses.RequestIdentity;
 
 /** Log lines about the heads of responses. Stateless. */
 final class ResponseHeadLog {
@@ -16,7 +15,8 @@
     static void logDefect(
             NodeContext node,
             HeadDefect defect,
-            RequestIdentity request,
+            String requestId,
+            boolean usedConnection,
             Engine engine,
             HttpClientResponse response) {
         node.metrics().countEvent("head_defect");
@@ -24,13 +24,13 @@
                 .event(
                         "head_defect",
                         "id",
-                        request.id(),
+                        requestId,
                         "engine",
                         engine.id(),
                         "cause",
                         defect.text(),
                         "used",
-                        request.usedConnection(),
+                        usedConnection,
                         "status",
                         response.statusCode(),
                         "reason",
--- a/gateway/src/test/java/org/fescuehollow/gateway/JoinedHeadTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/JoinedHeadTest.java
@@ -161,9 +161,8 @@
                                             Ending.KEEP_OPEN)
                                     : Answer.inOnePacket(
                                             response(framing, status, r.id()), framing.ending()));
-            long sent = mServer.answersSent();
             call("/read/", warm);
-            TestCluster.await(() -> mServer.answersSent() > sent);
+            TestCluster.await(mServer::isIdle);
             // WHEN the connection is used again
             // THEN nobody gets a response that the engine didn't make
             String id = "id-" + cut;
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/EngineStandIn.java
@@ -138,7 +138,11 @@
     }
 
     public void refuse(ReceivedRequest received, HttpServerRequest request) {
-        request.response().setStatusCode(503).putHeader("X-Fescuehollow-Not-Executed", "1").end();
+        request.response()
+                .setStatusCode(503)
+                .putHeader("X-Fescuehollow-Not-Executed", "1")
+                .putHeader("X-Fescuehollow-Attempt-Id", received.id())
+                .end();
     }
 
     public void answerAndDrop(ReceivedRequest received, HttpServerRequest request) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
@@ -9,7 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -54,7 +54,7 @@
     private final Vertx mVertx;
     private final NetServer mServer;
     private final List<Request> mRequests = Collections.synchronizedList(new ArrayList<>());
-    private final AtomicLong mAnswersSent = new AtomicLong();
+    private final AtomicInteger mOpenAnswers = new AtomicInteger();
     private volatile Function<Request, Answer> mScript = r -> Answer.inOnePacket("", Ending.CLOSE);
 
     ScriptedServer(Vertx vertx, boolean resetsOnClose) {
@@ -84,9 +84,9 @@
         return List.copyOf(mRequests);
     }
 
-    /** Returns the number of answers whose last packet was sent. */
-    public long answersSent() {
-        return mAnswersSent.get();
+    /** Returns whether all packets of all answers were sent, or could not be. */
+    public boolean isIdle() {
+        return mOpenAnswers.get() == 0;
     }
 
     private void onConnection(NetSocket socket) {
@@ -103,6 +103,7 @@
                                 new Request(id.group(1), last.find() ? last.group(1) : "");
                         received.setLength(0);
                         mRequests.add(request);
+                        mOpenAnswers.incrementAndGet();
                         send(socket, mScript.apply(request), 0);
                     }
                 });
@@ -112,14 +113,14 @@
         if (packet < answer.packets().size()) {
             String bytes = answer.packets().get(packet);
             socket.write(Buffer.buffer(bytes.getBytes(StandardCharsets.ISO_8859_1)))
-                    .onSuccess(
+                    .onComplete(
                             v ->
                                     mVertx.setTimer(
                                             PACKET_GAP_MILLIS,
                                             t -> send(socket, answer, packet + 1)));
             return;
         }
-        mAnswersSent.incrementAndGet();
+        mOpenAnswers.decrementAndGet();
         if (answer.ending() != Ending.KEEP_OPEN) {
             socket.close();
         }
