Fix: bytes that the HTTP decoder keeps or repairs became part of the next response

And bytes that came on an idle connection waited unseen in the decoder until they failed the next attempt there, which costs safe routes a retry.

ResponseGuard sees the bytes before the decoder does. It closes a connection on bytes that come while no request is open, and on a line of a head that is neither status line, field nor continuation (ResponseHeadLines, core; it keeps one line at most and reads no bodies). The HTTP library has no setting for either.

With the guard the property over spoiled bytes needs no exclusions but the digits of the status itself, and empty fields whose names end as a status line begins are legal again.

--- a/core/src/main/java/org/fescuehollow/responses/HeadDefect.java
+++ b/core/src/main/java/org/fescuehollow/responses/HeadDefect.java
@@ -20,6 +20,8 @@
     TRANSFER_CODING,
     /** A field that proves whose response it is counts as one of this connection only. */
     CONNECTION_OPTION,
+    /** Bytes came though no request was open on the connection. */
+    UNREQUESTED,
     /** The response names another request. */
     OTHER_REQUEST,
     /** The response names no request. */
--- a/core/src/main/java/org/fescuehollow/responses/ResponseHeadCheck.java
+++ b/core/src/main/java/org/fescuehollow/responses/ResponseHeadCheck.java
@@ -19,7 +19,6 @@
     private static final int MIN_FINAL_STATUS = 200;
     private static final int MAX_STATUS = 599;
     private static final char DELETE = 0x7f;
-    private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
     /** Fields of the standard that a response has at most once. */
     private static final Set<String> STANDARD_SINGLE_FIELDS =
@@ -110,7 +109,7 @@
         if (StatusLinePattern.isWithinField(name, value)) {
             return Optional.of(HeadDefect.SECOND_STATUS_LINE);
         }
-        if (!isToken(name)) {
+        if (!Tokens.isToken(name)) {
             return Optional.of(HeadDefect.FIELD_NAME);
         }
         if (!isText(value)) {
@@ -138,17 +137,6 @@
         return Optional.of(id.isEmpty() ? HeadDefect.NO_REQUEST : HeadDefect.OTHER_REQUEST);
     }
 
-    private static boolean isToken(String name) {
-        return !name.isEmpty() && name.chars().allMatch(ResponseHeadCheck::isTokenChar);
-    }
-
-    private static boolean isTokenChar(int c) {
-        return c >= 'a' && c <= 'z'
-                || c >= 'A' && c <= 'Z'
-                || c >= '0' && c <= '9'
-                || TOKEN_SYMBOLS.indexOf(c) >= 0;
-    }
-
     private static boolean isText(String value) {
         return value.chars().allMatch(c -> c >= ' ' && c != DELETE || c == '\t');
     }
--- a/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
+++ b/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
@@ -8,9 +8,7 @@
  */
 final class StatusLinePattern {
     /** A 0 stands for any digit. */
-    private static final String VERSION = "HTTP/0.0";
-
-    private static final String LINE = VERSION + " 000";
+    private static final String LINE = "HTTP/0.0 000";
 
     private StatusLinePattern() {}
 
@@ -22,13 +20,9 @@
         return contains(' ' + reason, LINE);
     }
 
-    /**
-     * Returns whether a field was made of a status line. Of a line without a colon, the HTTP
-     * decoder keeps what precedes the first space, as a name without a value.
-     */
+    /** Returns whether a field was made of a status line. */
     static boolean isWithinField(String name, String value) {
-        return contains(name + ':' + value, LINE)
-                || value.isEmpty() && (contains(name, VERSION) || endsWithStart(name));
+        return contains(name + ':' + value, LINE);
     }
 
     private static boolean contains(String text, String pattern) {
@@ -53,14 +47,4 @@
     private static boolean isDigit(char c) {
         return c >= '0' && c <= '9';
     }
-
-    /** Returns whether a name ends with the start of a version, which a space has cut off. */
-    private static boolean endsWithStart(String name) {
-        for (int length = 1; length <= VERSION.indexOf('/'); length++) {
-            if (name.endsWith(VERSION.substring(0, length))) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -1,10 +1,12 @@
 package org.fescuehollow.gateway;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -24,7 +26,9 @@
 import org.fescuehollow.gateway.store.CatalogService;
 import org.fescuehollow.gateway.training.CdsTraining;
 import org.fescuehollow.kernel.Kernel;
+import org.fescuehollow.platform.ResponseGuard;
 import org.fescuehollow.residency.ResidencyTable;
+import org.fescuehollow.responses.HeadDefect;
 import org.fescuehollow.suspects.CrashTraits;
 
 /**
@@ -59,31 +63,31 @@
      */
     public EntryNode(NodeSettings settings) {
         Vertx vertx = createVertx();
+        EventLog log = new EventLog(System.out);
+        GatewayMetrics metrics = new GatewayMetrics();
+        Handler<HttpConnection> guard =
+                c -> ResponseGuard.install(c, d -> onHeadDefect(log, metrics, c, d));
         HttpClient once =
                 createClient(
                         vertx,
                         new HttpClientOptions().setKeepAlive(false),
-                        MAX_CONNECTIONS_PER_SERVER);
+                        MAX_CONNECTIONS_PER_SERVER,
+                        guard);
         HttpClient repeatable =
                 createClient(
                         vertx,
                         keepAliveOptions(REQUEST_KEEP_ALIVE_SECONDS),
-                        MAX_CONNECTIONS_PER_SERVER);
+                        MAX_CONNECTIONS_PER_SERVER,
+                        guard);
         HttpClient control =
                 createClient(
                         vertx,
                         keepAliveOptions(CONTROL_KEEP_ALIVE_SECONDS),
-                        MAX_CONTROL_CONNECTIONS_PER_SERVER);
+                        MAX_CONTROL_CONNECTIONS_PER_SERVER,
+                        guard);
         mContext =
                 new NodeContext(
-                        vertx,
-                        once,
-                        repeatable,
-                        control,
-                        new NodeClock(),
-                        settings,
-                        new EventLog(System.out),
-                        new GatewayMetrics());
+                        vertx, once, repeatable, control, new NodeClock(), settings, log, metrics);
         vertx.exceptionHandler(this::onUncaughtException);
         ResidencyTable residency = new ResidencyTable();
         Dispatcher dispatcher = new Dispatcher(settings.domain(), residency);
@@ -115,9 +119,22 @@
     }
 
     private static HttpClient createClient(
-            Vertx vertx, HttpClientOptions options, int connections) {
+            Vertx vertx,
+            HttpClientOptions options,
+            int connections,
+            Handler<HttpConnection> onConnect) {
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections).setEventLoopSize(1);
-        return vertx.createHttpClient(options, pool);
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(onConnect)
+                .build();
+    }
+
+    private static void onHeadDefect(
+            EventLog log, GatewayMetrics metrics, HttpConnection connection, HeadDefect defect) {
+        metrics.countEvent("head_defect");
+        log.event("head_defect", "address", connection.remoteAddress(), "cause", defect.text());
     }
 
     private static Vertx createVertx() {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/ScriptedServer.java
@@ -55,6 +55,7 @@
     private final NetServer mServer;
     private final List<Request> mRequests = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger mOpenAnswers = new AtomicInteger();
+    private final AtomicInteger mConnections = new AtomicInteger();
     private volatile Function<Request, Answer> mScript = r -> Answer.inOnePacket("", Ending.CLOSE);
 
     ScriptedServer(Vertx vertx, boolean resetsOnClose) {
@@ -89,7 +90,13 @@
         return mOpenAnswers.get() == 0;
     }
 
+    /** Returns how many connections there were so far, without those for orders and reports. */
+    public int connections() {
+        return mConnections.get();
+    }
+
     private void onConnection(NetSocket socket) {
+        boolean[] counted = new boolean[1];
         StringBuilder received = new StringBuilder();
         socket.exceptionHandler(e -> socket.close());
         socket.handler(
@@ -103,6 +110,8 @@
                                 new Request(id.group(1), last.find() ? last.group(1) : "");
                         received.setLength(0);
                         mRequests.add(request);
+                        mConnections.addAndGet(counted[0] ? 0 : 1);
+                        counted[0] = true;
                         mOpenAnswers.incrementAndGet();
                         send(socket, mScript.apply(request), 0);
                     }
