--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/EngineController.java
@@ -1,6 +1,5 @@
 package org.fescuehollow.gateway.orders;
 
-import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -216,7 +215,7 @@
     }
 
     private void onReportFailed(Throwable cause) {
-        mContext.metrics().countEvent("report_failed");
+        mLog.logReportFailed(mEngine.id(), cause);
         mLastReport = Optional.empty();
     }
 
@@ -341,8 +340,8 @@
             // Other nodes stop sending requests for the adapter before the engine rejects them.
             mService.onUnloading(mEngine.id(), holding().orElseThrow(), order.adapter());
         }
-        Future<OrderReply> reply = mClient.sendOrder(request);
-        reply.onSuccess(r -> onReply(order, r, now));
+        mClient.sendOrder(request, e -> mLog.logFailed(mEngine.id(), order, e))
+                .onSuccess(r -> onReply(order, r, now));
     }
 
     private void onReply(AdapterOrder order, OrderReply reply, long sentNanos) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/orders/OrderLog.java
@@ -46,4 +46,25 @@
                             orderCount);
         }
     }
+
+    /** Logs why an order, which may be a status query, has no sound reply. */
+    void logFailed(String engine, AdapterOrder order, Throwable cause) {
+        mContext.log()
+                .event(
+                        "order_failed",
+                        "engine",
+                        engine,
+                        "action",
+                        order.action(),
+                        "adapter",
+                        order.adapter(),
+                        "cause",
+                        cause);
+    }
+
+    /** Logs and counts a report that was not received. */
+    void logReportFailed(String engine, Throwable cause) {
+        mContext.metrics().countEvent("report_failed");
+        mContext.log().event("report_failed", "engine", engine, "cause", cause);
+    }
 }
