Server: an engine's failure passed for a success by a cut copy

Callers of the product's own server got a 2xx status for a call that the engine had answered with 400, 404, 500 or 503, plain and as a stream; an order answered with 412 or 500 counted as done, and a poll answered with 503 as answered.

The HTTP decoder completes a head that was cut off with the next one on its connection; Exchange and BoundedCall believed its status.

Engines don't repeat the attempt's id, so it isn't demanded, but a response with another attempt's id fails. A request id is not compared, as servers in common use make one of their own.

--- a/server/src/main/java/org/fescuehollow/server/backend/BackendClient.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/BackendClient.java
@@ -115,7 +115,7 @@
         if (!call.traceParent().isEmpty()) {
             options.putHeader("traceparent", call.traceParent());
         }
-        Exchange exchange = new Exchange(call, sink, head, mLimits);
+        Exchange exchange = new Exchange(call, attempt, sink, head, mLimits);
         mClient.request(options).onSuccess(exchange::connected).onFailure(exchange::unconnected);
         return exchange;
     }
--- a/server/src/main/java/org/fescuehollow/server/backend/EngineProtocol.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/EngineProtocol.java
@@ -8,6 +8,7 @@
 import org.fescuehollow.error.FescuehollowException;
 import org.fescuehollow.model.AdapterRef;
 import org.fescuehollow.placement.EngineReport;
+import org.fescuehollow.server.loop.ResponseHeads;
 import org.fescuehollow.server.platform.Json;
 
 /**
@@ -30,10 +31,10 @@
     public static final String FENCING_HEADER = "Fencing-Number";
 
     /** Header that carries the request id. */
-    public static final String REQUEST_ID_HEADER = "X-Request-Id";
+    public static final String REQUEST_ID_HEADER = ResponseHeads.REQUEST_ID_HEADER;
 
     /** Header that carries the attempt. */
-    public static final String ATTEMPT_HEADER = "X-Attempt-Id";
+    public static final String ATTEMPT_HEADER = ResponseHeads.ATTEMPT_HEADER;
 
     private EngineProtocol() {}
 
--- a/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
+++ b/server/src/main/java/org/fescuehollow/server/backend/Exchange.java
@@ -7,17 +7,21 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.fescuehollow.error.FescuehollowException;
 import org.fescuehollow.error.Problem;
 import org.fescuehollow.error.RunState;
 import org.fescuehollow.model.AdapterRef;
+import org.fescuehollow.responses.HeadDefect;
 import org.fescuehollow.server.call.AnswerSink;
 import org.fescuehollow.server.call.Call;
 import org.fescuehollow.server.call.CallHandle;
 import org.fescuehollow.server.config.Limits;
 import org.fescuehollow.server.loop.InterimResponses;
+import org.fescuehollow.server.loop.ResponseHeads;
 
 /**
  * One attempt's exchange with a backend server.
@@ -28,7 +32,10 @@
 final class Exchange implements CallHandle {
     private static final int STATUS_OK = 200;
 
+    private static final Logger LOG = System.getLogger(Exchange.class.getName());
+
     private final Call mCall;
+    private final String mAttempt;
     private final AnswerSink mSink;
     private final BiConsumer<Integer, String> mHead;
     private final Limits mLimits;
@@ -36,8 +43,14 @@
     private boolean mAnswering;
     private boolean mEnded;
 
-    Exchange(Call call, AnswerSink sink, BiConsumer<Integer, String> head, Limits limits) {
+    Exchange(
+            Call call,
+            String attempt,
+            AnswerSink sink,
+            BiConsumer<Integer, String> head,
+            Limits limits) {
         mCall = call;
+        mAttempt = attempt;
         mSink = sink;
         mHead = head;
         mLimits = limits;
@@ -61,6 +74,11 @@
 
     private void answered(HttpClientResponse response) {
         response.exceptionHandler(this::broken);
+        Optional<HeadDefect> defect = ResponseHeads.findDefect(response, mAttempt);
+        if (defect.isPresent()) {
+            unsound(defect.get());
+            return;
+        }
         int status = response.statusCode();
         if (mCall.adapter().isPresent() && isRefusal(status)) {
             refused(status);
@@ -71,6 +89,16 @@
         }
     }
 
+    /** Closes the connection, as what follows on it may belong to any request. */
+    private void unsound(HeadDefect defect) {
+        LOG.log(Level.WARNING, "response to {0} has no sound head: {1}", mCall.id(), defect.text());
+        fail(
+                shouldAnswer(
+                        RunState.OUTCOME_UNKNOWN,
+                        "its response has no sound head: " + defect.text()));
+        mRequest.ifPresent(r -> r.connection().close());
+    }
+
     /** Engines answer these before they execute anything. */
     private static boolean isRefusal(int status) {
         return status == 404 || status == 429 || status == 503;
--- a/server/src/main/java/org/fescuehollow/server/loop/BoundedCall.java
+++ b/server/src/main/java/org/fescuehollow/server/loop/BoundedCall.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fescuehollow.responses.HeadDefect;
 
 /**
  * A call whose response is read up to a size limit and within a time limit, as a faulty server may
@@ -44,7 +45,7 @@
      * @param body the body of the request; empty for none
      * @param maxBytes the largest body of a response
      * @param timeout the time from the start of the call to the end of the response
-     * @return the response; fails if it exceeds a limit or doesn't come
+     * @return the response; fails if its head is unsound, it exceeds a limit or it doesn't come
      */
     public static Future<Response> send(
             HttpClient client,
@@ -72,6 +73,10 @@
     }
 
     private Future<Buffer> read(HttpClientResponse response) {
+        Optional<HeadDefect> defect = ResponseHeads.findDefect(response, "");
+        if (defect.isPresent()) {
+            return Future.failedFuture("no sound head: " + defect.get().text());
+        }
         Promise<Buffer> result = Promise.promise();
         Buffer body = Buffer.buffer();
         response.exceptionHandler(result::tryFail);
