Fix: a second response behind a plain body passed for part of it

Callers saw: a plain 200, 404 or 500 whose body went on with another response ("200 for id-81HTTP/1.1 200 OK..."), where the engine's response had neither a length nor chunks and another one followed it on its connection: a late copy of the response before it on a kept connection, or a second response to the same request on a new one.

Cause: a body that ends with its connection takes in all bytes that follow, and nothing looked at them.

Fix: PlainBodyCheck decides for plain bodies that end with their connection. On a connection that was used before they are not accepted, as late bytes of earlier responses can't be told from body; on a new one a body with a version and a status in it (one byte may be wrong), or that ends within them from "HTTP/" on, is not whole. The attempt then counts as lost: closed, a retry within the limits, else 502. Bodies with a length or chunks, empty ones (204, 304, HEAD), refusals, which are read to their head only, and streams are as before, and so is any other response that ends in order with a new connection.

Cost: an engine that keeps connections and then answers without a length makes a safe request take one retry of the shared budget, or get 502 if there is none, and counts as failed. Accepting such bodies when they show no status line would spare that, but would pass on the first bytes of a copy. Engines that always end with the connection aren't concerned, as theirs are never used again. A body without a length that quotes a status line is never delivered; the engine has to send a length.

HEAD is not tested.

--- a/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
+++ b/core/src/main/java/org/fescuehollow/responses/StatusLinePattern.java
@@ -1,8 +1,8 @@
 package org.fescuehollow.responses;
 
 /**
- * Finds the status line of a second response within the parts of a head: in the reason phrase, or
- * in a line that was read as a field. One byte of it may be wrong.
+ * Finds the status line of a second response within a body or the parts of a head: in the reason
+ * phrase, or in a line that was read as a field. One byte of it may be wrong.
  *
  * <p>Stateless and safe for use by any thread.
  */
@@ -12,6 +12,12 @@
 
     private static final String LINE = VERSION + " 000";
 
+    /** The longest part of a status line, in characters, that is not found in itself. */
+    static final int MAX_PART = LINE.length() - 1;
+
+    /** Fewer characters of a status line may be text. */
+    private static final int MIN_CUT_LENGTH = VERSION.indexOf('/') + 1;
+
     private StatusLinePattern() {}
 
     /**
@@ -31,6 +37,23 @@
                 || value.isEmpty() && (contains(name, VERSION) || endsWithStart(name));
     }
 
+    /** Returns whether a part of a body contains a version and a status. */
+    static boolean isWithinBody(String text) {
+        return contains(text, LINE);
+    }
+
+    /** Returns whether a body ends with the start of a status line, from {@code HTTP/} on. */
+    static boolean isCutAtEndOfBody(String tail) {
+        int last = Math.min(MAX_PART, tail.length());
+        for (int length = MIN_CUT_LENGTH; length <= last; length++) {
+            String start = LINE.substring(0, length);
+            if (mismatches(tail, tail.length() - length, start) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean contains(String text, String pattern) {
         for (int start = 0; start + pattern.length() <= text.length(); start++) {
             if (mismatches(text, start, pattern) <= 1) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -271,7 +271,9 @@
 
     private void deliver(HttpClientResponse response, ResponseHead head) {
         mProxiedRequest.onResponseStarted(mEngine);
-        ResponseRelay relay = new ResponseRelay(mContext, mProxiedRequest, this, response, head);
+        ResponseRelay relay =
+                new ResponseRelay(
+                        mContext, mProxiedRequest, this, response, head, mReusesConnection);
         mRelay = Optional.of(relay);
         relay.start();
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseHeadLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseHeadLog.java
@@ -4,9 +4,10 @@
 import java.util.stream.Collectors;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.gateway.node.NodeContext;
+import org.fescuehollow.responses.BodyDefect;
 import org.fescuehollow.responses.HeadDefect;
 
-/** Log lines about the heads of responses. Stateless. */
+/** Log lines about the heads and plain bodies of responses. Stateless. */
 final class ResponseHeadLog {
     private static final int MAX_TEXT_CHARS = 200;
 
@@ -39,6 +40,20 @@
                         printable(String.join(",", response.headers().names())));
     }
 
+    static void logDefect(
+            NodeContext node, ProxiedRequest request, Engine engine, BodyDefect defect) {
+        node.metrics().countEvent("body_defect");
+        node.log()
+                .event(
+                        "body_defect",
+                        "id",
+                        request.dispatchRequest().id(),
+                        "engine",
+                        engine.id(),
+                        "cause",
+                        defect.text());
+    }
+
     /** Returns the start of a text without control characters, which a server may have sent. */
     private static String printable(String text) {
         return text.chars()
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
@@ -5,6 +5,9 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.fescuehollow.catalog.RouteKind;
 import org.fescuehollow.platform.ResponseHead;
+import org.fescuehollow.platform.ResponseHeads;
+import org.fescuehollow.responses.BodyDefect;
+import org.fescuehollow.responses.PlainBodyCheck;
 import org.fescuehollow.streams.EventDefect;
 import org.fescuehollow.streams.EventStreamReader;
 
@@ -27,6 +30,7 @@
     private final Attempt mAttempt;
     private final HttpClientResponse mResponse;
     private final boolean mEventStream;
+    private final PlainBodyCheck mBodyCheck;
     private final Buffer mBuffered = Buffer.buffer();
     private int mHeldBytes;
 
@@ -35,15 +39,20 @@
             ProxiedRequest request,
             Attempt attempt,
             HttpClientResponse response,
-            ResponseHead head) {
+            ResponseHead head,
+            boolean reusesConnection) {
         mContext = context;
         mProxiedRequest = request;
         mAttempt = attempt;
         mResponse = response;
         mEventStream = request.route().kind() == RouteKind.STREAM && head.isSuccess();
+        mBodyCheck = new PlainBodyCheck(ResponseHeads.framing(response), reusesConnection);
     }
 
     void start() {
+        if (!mEventStream && hasBodyDefect()) {
+            return;
+        }
         mResponse.handler(guarded(mEventStream ? this::relayEvents : this::buffer));
         mResponse.endHandler(guarded(v -> onEnd()));
     }
@@ -88,7 +97,22 @@
         mAttempt.onFailure(new IllegalStateException("no sound event: " + defect.text()));
     }
 
+    /** Returns whether the plain body has a defect, which ends the attempt. */
+    private boolean hasBodyDefect() {
+        mBodyCheck.defect().ifPresent(this::onDefect);
+        return mAttempt.hasEnded();
+    }
+
+    private void onDefect(BodyDefect defect) {
+        ResponseHeadLog.logDefect(mContext.node(), mProxiedRequest, mAttempt.engine(), defect);
+        mAttempt.onFailure(new IllegalStateException("no sound body: " + defect.text()));
+    }
+
     private void buffer(Buffer data) {
+        mBodyCheck.feed(data.getBytes());
+        if (hasBodyDefect()) {
+            return;
+        }
         if (mProxiedRequest.response().hasStarted()) {
             relay(data);
             return;
@@ -128,6 +152,12 @@
             mAttempt.onFailure(new IllegalStateException("stream ended before it was whole"));
             return;
         }
+        if (!mEventStream) {
+            mBodyCheck.end();
+            if (hasBodyDefect()) {
+                return;
+            }
+        }
         mAttempt.onDelivered(mResponse.statusCode());
         if (complete) {
             recordFirstByte();
