Test: a cut body with a length is filled up with the start of a second response

Callers see "200 forHTTP/" with a 200: an engine cuts off a body with a length and responds once more to the same request on its connection, so that the decoder counts the second head as the rest of the first body. Not mended: a body with a length that quotes a status line is sound, and nothing else tells them apart before the further bytes of the second response arrive.

--- a/gateway/src/test/java/org/fescuehollow/gateway/JoinedBodyTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/JoinedBodyTest.java
@@ -127,6 +127,17 @@
         call("/pay/", "id-1");
     }
 
+    @Test
+    void body_thatWasCutIsNotFilledUpWithASecondResponse() {
+        mServer.onRequest(
+                r -> {
+                    String whole = response(Framing.LENGTH, 200, r.id());
+                    String cut = whole.substring(0, whole.length() - MIN_CUT);
+                    return new Answer(List.of(cut, whole), Ending.CLOSE);
+                });
+        call("/pay/", "id-1");
+    }
+
     @Test
     void body_onAKeptConnectionMayBeEmptyByItsStatus() {
         for (int status : List.of(204, 304)) {
