--- a/gateway/src/test/java/org/fescuehollow/gateway/FilledBodyTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/FilledBodyTest.java
@@ -12,6 +12,7 @@
 import org.fescuehollow.gateway.testsupport.TestCluster;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -68,6 +69,29 @@
                 .ifPresent(r -> then(r.body()).isEqualTo(BODY));
     }
 
+    private static String chunked(String id) {
+        return response(id)
+                .replace(
+                        "Content-Length: 400\r\n\r\n" + BODY,
+                        "Transfer-Encoding: chunked\r\n\r\n190\r\n" + BODY + "\r\n0\r\n\r\n");
+    }
+
+    @Test
+    void response_thatIsCutInAChunkIsNotFilledUpWithItsCopy() {
+        for (int missing = 1; missing <= 200; missing++) {
+            int left = missing;
+            mServer.onRequest(
+                    r -> {
+                        String whole = chunked(r.id());
+                        String cut = whole.substring(0, whole.length() - left);
+                        return Answer.inOnePacket(cut + whole, Ending.CLOSE);
+                    });
+            call("/pay/", "id-" + missing)
+                    .filter(r -> r.statusCode() == 200)
+                    .ifPresent(r -> then(r.body()).as("%d missing", left).isEqualTo(BODY));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {5, 17, 100, 1_000})
     void response_thatEndsWithItsConnectionDoesNotContainALateCopy(int copyLength) {
