Fix: a body that was cut off was filled up with a second response

PlainBodyCheck now rejects any body with a status line and the field with which engines repeat a request's id. A body that quotes a status line alone stays sound, so a shorter part of a second response is not noticed (JoinedBodyTest, known red).

Two legal fields that quote a status line are still rejected and listed as red: a cut field that the next status line completes looks the same.

--- a/core/src/test/java/org/fescuehollow/responses/PlainBodyCheckTest.java
+++ b/core/src/test/java/org/fescuehollow/responses/PlainBodyCheckTest.java
@@ -15,11 +15,13 @@
     private static final String BODY = "answer H HTTP/2 {\"protocol\":\"HTTP\"} 200 OK";
     private static final String SECOND = "HTTP/1.1 200 OK\r\nServer: x\r\n\r\nbody";
 
+    private static final String ID_FIELD = "X-Id";
+
     /** Fewer bytes of a status line can't be told from text. */
     private static final int MIN_CUT = "HTTP/".length();
 
     private static Optional<BodyDefect> check(BodyFraming framing, String body, int packet) {
-        PlainBodyCheck check = new PlainBodyCheck(framing, false);
+        PlainBodyCheck check = new PlainBodyCheck(framing, false, ID_FIELD);
         for (int start = 0; start < body.length(); start += packet) {
             String part = body.substring(start, Math.min(body.length(), start + packet));
             check.feed(part.getBytes(StandardCharsets.ISO_8859_1));
@@ -62,12 +64,22 @@
             names = {"LENGTH", "CHUNKS"})
     void body_whoseEndIsMarkedMayContainAResponse(BodyFraming framing) {
         then(check(framing, BODY + SECOND, 7)).isEmpty();
-        then(new PlainBodyCheck(framing, true).defect()).isEmpty();
+        then(new PlainBodyCheck(framing, true, ID_FIELD).defect()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 7, 1_000})
+    void body_whoseEndIsMarkedIsNotSoundIfAResponseInItNamesARequest(int packet) {
+        String second = "HTTP/1.1 200 OK\r\nServer: x\r\nx-id: 1\r\n\r\n";
+        for (BodyFraming framing : new BodyFraming[] {BodyFraming.LENGTH, BodyFraming.CHUNKS}) {
+            then(check(framing, BODY + second, packet)).hasValue(BodyDefect.SECOND_STATUS_LINE);
+            then(check(framing, BODY + " x-id: 1", packet)).isEmpty();
+        }
     }
 
     @Test
     void body_thatEndsWithAUsedConnectionIsNotSound() {
-        then(new PlainBodyCheck(BodyFraming.CONNECTION_END, true).defect())
+        then(new PlainBodyCheck(BodyFraming.CONNECTION_END, true, ID_FIELD).defect())
                 .hasValue(BodyDefect.UNMARKED_END);
     }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ResponseRelay.java
@@ -46,7 +46,7 @@
         mAttempt = attempt;
         mResponse = response;
         mEventStream = request.route().kind() == RouteKind.STREAM && head.isSuccess();
-        mBodyCheck = new PlainBodyCheck(ResponseHeads.framing(response), reusesConnection);
+        mBodyCheck = ResponseHeads.bodyCheck(response, reusesConnection);
     }
 
     void start() {
