--- a/gateway/src/test/java/org/fescuehollow/gateway/JoinedStreamTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/JoinedStreamTest.java
@@ -20,6 +20,7 @@
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.fescuehollow.gateway.testsupport.PlainResponses.Framing;
 import org.fescuehollow.gateway.testsupport.ScriptedServer;
 import org.fescuehollow.gateway.testsupport.ScriptedServer.Answer;
 import org.fescuehollow.gateway.testsupport.ScriptedServer.Ending;
@@ -52,31 +53,6 @@
     private final List<String> mUnsound = new ArrayList<>();
     private int mCalls;
 
-    /** How a response marks the end of its body. */
-    private enum Framing {
-        LENGTH,
-        CHUNKS,
-        CONNECTION_END;
-
-        String frame(String head, String body) {
-            return switch (this) {
-                case LENGTH -> head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-                case CHUNKS ->
-                        head
-                                + "Transfer-Encoding: chunked\r\n\r\n"
-                                + Integer.toHexString(body.length())
-                                + "\r\n"
-                                + body
-                                + "\r\n0\r\n\r\n";
-                case CONNECTION_END -> head + "\r\n" + body;
-            };
-        }
-
-        Ending ending() {
-            return this == CONNECTION_END ? Ending.CLOSE : Ending.KEEP_OPEN;
-        }
-    }
-
     /** What the copy is a copy of. */
     private enum Copy {
         ID_FIRST(200, "X-Fescuehollow-Attempt-Id: warm\r\nX-Fescuehollow-Server-Seal: w\r\n"),
