Test: a node of the test cluster never gets one port for clients and readiness

Its log has 1,318 lines rejected uri=/, so that the questions for readiness reached the listener of clients. The ports are drawn at random and may be equal; the HTTP library then lets both servers share the port. With equal ports set in a scratch copy the test fails in the same way, with 1,109 such lines.

--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -55,14 +55,20 @@
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
-    private final int mListenPort = freePort();
-    private final int mReadinessPort = freePort();
-    private final int mExchangePort = freePort();
+    private final int mListenPort = freePort(0);
+    private final int mReadinessPort = freePort(mListenPort);
+    private final int mExchangePort = freePort(0);
 
-    /** Returns a free port that the operating system gives to no other socket by itself. */
-    private static int freePort() {
+    /**
+     * Returns a free port that the operating system gives to no other socket by itself. Two servers
+     * of one node would share the port if it were the same, and take each other's requests.
+     */
+    private static int freePort(int taken) {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            if (port == taken) {
+                continue;
+            }
             try (ServerSocket s = new ServerSocket(port)) {
                 return s.getLocalPort();
             } catch (BindException e) {
