--- a/gateway/src/test/java/org/fescuehollow/gateway/JoinedStreamTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/JoinedStreamTest.java
@@ -45,8 +45,8 @@
     /** Statuses that promise that the request did not run and never will. */
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
-    private static final TestCluster sCluster = new TestCluster();
-    private static final HttpClient sClient =
+    private static final TestCluster CLUSTER = new TestCluster();
+    private static final HttpClient CLIENT =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private static List<ScriptedServer> sEngines;
 
@@ -121,7 +121,7 @@
 
     @AfterAll
     static void close() {
-        sCluster.close();
+        CLUSTER.close();
     }
 
     private static String events(String id, int from, int to) {
@@ -155,15 +155,15 @@
     static void start() {
         sEngines =
                 List.of(
-                        sCluster.addScriptedServer("i-1", "llm"),
-                        sCluster.addScriptedServer("i-2", "llm"));
+                        CLUSTER.addScriptedServer("i-1", "llm"),
+                        CLUSTER.addScriptedServer("i-2", "llm"));
         sEngines.forEach(e -> e.onRequest(JoinedStreamTest::sound));
-        sCluster.bounds(new JsonObject().put("retrySlack", 100_000));
-        sCluster.configure(1);
-        sCluster.startNodes(1);
-        TestCluster.await(() -> sCluster.stream("/chat/", "warm").complete());
+        CLUSTER.bounds(new JsonObject().put("retrySlack", 100_000));
+        CLUSTER.configure(1);
+        CLUSTER.startNodes(1);
+        TestCluster.await(() -> CLUSTER.stream("/chat/", "warm").complete());
         // Sound streams show that ids count events.
-        IntStream.range(0, 10).forEach(i -> sCluster.stream("/chat/", "warm-" + i));
+        IntStream.range(0, 10).forEach(i -> CLUSTER.stream("/chat/", "warm-" + i));
     }
 
     private static Answer sound(Request request) {
@@ -194,7 +194,7 @@
             int status, String seal, Set<String> names, String body, boolean complete) {}
 
     private static Received receive(String path, String id) {
-        URI uri = URI.create("http://127.0.0.1:" + sCluster.listenPort() + path);
+        URI uri = URI.create("http://127.0.0.1:" + CLUSTER.listenPort() + path);
         HttpRequest request =
                 HttpRequest.newBuilder(uri)
                         .headers(
@@ -211,7 +211,7 @@
                         .build();
         try {
             HttpResponse<InputStream> response =
-                    sClient.send(request, HttpResponse.BodyHandlers.ofInputStream());
+                    CLIENT.send(request, HttpResponse.BodyHandlers.ofInputStream());
             return readBody(response);
         } catch (IOException e) {
             return new Received(0, "", Set.of(), e.toString(), false);
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -56,19 +56,13 @@
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
     private final int mListenPort = freePort(0);
-    private final int mReadinessPort = freePort(mListenPort);
+    private final int mReadinessPort = freePort(1);
     private final int mExchangePort = freePort(0);
 
-    /**
-     * Returns a free port that the operating system gives to no other socket by itself. Two servers
-     * of one node would share the port if it were the same, and take each other's requests.
-     */
-    private static int freePort(int taken) {
+    /** Returns a free port, by its parity unlike that of the node's other server. */
+    private static int freePort(int parity) {
         while (true) {
-            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
-            if (port == taken) {
-                continue;
-            }
+            int port = 2 * ThreadLocalRandom.current().nextInt(MIN_PORT / 2, MAX_PORT / 2) + parity;
             try (ServerSocket s = new ServerSocket(port)) {
                 return s.getLocalPort();
             } catch (BindException e) {
