Log: flush writes the line that the writer holds

An operator who looks into a planned stop misses its last decision: of the lines of the last 100 ms the first one was lost, such as final_answers or attempt_failed of the last request.

Cause: the writer takes the first line of a batch from the queue and sleeps for 100 ms with it; flush, called before the process halts, wrote the queue only.

EventLogTest#flush_writesAllLinesInOrder failed before (1 of 2 tests, "first" missing) and passes now: the held line is kept where flush finds it, under the same lock.

--- a/gateway/src/main/java/org/fescuehollow/gateway/log/EventLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/log/EventLog.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,10 @@
     private final BlockingQueue<String> mQueue = new ArrayBlockingQueue<>(QUEUE_CAPACITY_LINES);
     private final AtomicLong mDropped = new AtomicLong();
     private final PrintStream mOut;
+
+    /** The first line of the next batch, which the writer has taken from the queue. */
+    private Optional<String> mHeld = Optional.empty();
+
     private double mTokens = MAX_BURST_LINES;
     private long mLastRefillNanos = System.nanoTime();
 
@@ -93,18 +98,25 @@
     private void writeLoop() {
         try {
             while (true) {
-                String first = mQueue.take();
+                hold(mQueue.take());
                 TimeUnit.MILLISECONDS.sleep(FLUSH_INTERVAL_MILLIS);
-                flush(first);
+                flush();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private synchronized void flush(String first) {
+    private synchronized void hold(String line) {
+        mHeld = Optional.of(line);
+    }
+
+    /** Writes all lines that were logged and not written; used when the process ends. */
+    public synchronized void flush() {
         StringBuilder lines = new StringBuilder();
-        for (String line = first; line != null; line = mQueue.poll()) {
+        mHeld.ifPresent(l -> lines.append(l).append('\n'));
+        mHeld = Optional.empty();
+        for (String line = mQueue.poll(); line != null; line = mQueue.poll()) {
             lines.append(line).append('\n');
         }
         long dropped = mDropped.getAndSet(0);
@@ -116,14 +128,6 @@
         mOut.flush();
     }
 
-    /** Writes all queued lines; used when the process ends. */
-    public void flush() {
-        String first = mQueue.poll();
-        if (first != null) {
-            flush(first);
-        }
-    }
-
     /**
      * Returns the number of lines dropped since the last write.
      *
