Log: why a response was lost or broken off

A line with outcome=aborted detail=answer_lost looked alike for three ends: the final answers of a stop, an attempt that broke with no retry left, and an exception of a callback. The detail now ends with FINAL_ANSWERS, NO_RETRY or EXCEPTION, as it did with STOPPING. No change of behaviour.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -60,7 +60,7 @@
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
-        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
+        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow("EXCEPTION"));
     }
 
     DispatchRequest dispatchRequest() {
@@ -242,6 +242,7 @@
             onStreamInterrupted();
             placeOrWait();
         } else {
+            mWaitReason = "NO_RETRY";
             fail(GatewayError.ANSWER_LOST);
         }
     }
@@ -365,10 +366,11 @@
     }
 
     /** Ends the request at once, with an error that tells whether it may have run. */
-    void endNow() {
+    void endNow(String reason) {
         if (mDone) {
             return;
         }
+        mWaitReason = reason;
         mMayHaveRun |= mRuns > 0;
         mGuard.run(() -> mAttempt.ifPresent(Attempt::cancel));
         mGuard.run(this::giveUp);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -292,7 +292,7 @@
 
     /** Ends all open requests, each with an error that tells whether it may have run. */
     void endAll() {
-        List.copyOf(mOpen).forEach(ProxiedRequest::endNow);
+        List.copyOf(mOpen).forEach(r -> r.endNow("FINAL_ANSWERS"));
     }
 
     /** Records that a response on a connection announces its close. */
