--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -30,6 +30,7 @@
     private final RequestLog mLog;
     private final RequestGuard mGuard;
     private final RequestTraits mTraits;
+    private final RequestTimers mTimers;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
     private final EventStreamReader mEvents;
@@ -40,8 +41,6 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mLoadingEngine = "";
-    private long mDeadlineTimer = -1;
-    private long mWaitTimer = -1;
 
     ProxiedRequest(
             RequestContext context,
@@ -61,6 +60,7 @@
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow("EXCEPTION"));
+        mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
 
     DispatchRequest dispatchRequest() {
@@ -114,16 +114,12 @@
     private void startGuarded() {
         mClientRequest.response().closeHandler(mGuard.handler(v -> onClientDisconnected()));
         mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
-        mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
+        mTimers.startDeadline(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
         placeOrWait();
     }
 
-    private long setTimer(long millis, Runnable action) {
-        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> mGuard.run(action));
-    }
-
     private void placeOrWait() {
         if (mDone || place()) {
             return;
@@ -134,12 +130,7 @@
             return;
         }
         mContext.waitQueue().add(this);
-        if (mWaitTimer < 0) {
-            mWaitTimer =
-                    setTimer(
-                            QueueTimeout.remainingMillis(mDispatchRequest, now),
-                            this::onWaitTimeout);
-        }
+        mTimers.startWait(QueueTimeout.remainingMillis(mDispatchRequest, now), this::onWaitTimeout);
         mLog.logWaiting(mDispatchRequest, mWaitReason, mLoadingEngine, now);
     }
 
@@ -253,8 +244,7 @@
      */
     private void onStreamInterrupted() {
         if (mResponse.hasStarted()) {
-            mContext.node().vertx().cancelTimer(mWaitTimer);
-            mWaitTimer = -1;
+            mTimers.cancelWait();
             mDispatchRequest = mDispatchRequest.resumedAt(mContext.now());
         }
     }
@@ -383,8 +373,7 @@
     private void finish(String outcome, String detail) {
         mDone = true;
         mContext.onRequestEnded(this);
-        mContext.node().vertx().cancelTimer(mDeadlineTimer);
-        mContext.node().vertx().cancelTimer(mWaitTimer);
+        mTimers.cancelAll();
         Optional<Attempt> attempt = mAttempt;
         mAttempt = Optional.empty();
         attempt.ifPresent(
