Stop: a silent engine is left only for an engine that the request is sent to

Cause: leaving took two steps with different conditions. The first asked whether another engine can take the request; the second, after the connection to the silent engine was closed, asked again, and asked the stop and the blocked traits as well. Late in a stop the stop refused, and the response that had begun could only be aborted. Streams that had not begun got a 502, and so did those of clients that read slowly, whose engines count as silent.

Now one step decides and moves: all conditions hold for the request as it will be sent, the engine that was found gets it, and only then the attempt at the silent one ends. Otherwise the request stays, as the silent engine may still respond.

AnswersInAStopTest, a node in a process of its own: 6 of 6 cases of four tests failed before and pass now (pauses of 1.5 to 6 s, a route of long streams, a stream that has not begun, a slow reader); stream_ofASilentEngineMovesIfThereIsTime passes before and after. LeftStreamTest, LostEngineTest and ResumedStreamErrorTest pass.

--- a/core/src/main/java/org/fescuehollow/dispatch/Placement.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Placement.java
@@ -8,6 +8,22 @@
  * <p>Immutable and safe for use by any thread.
  */
 public sealed interface Placement {
+    /**
+     * Returns the engine to send the request to.
+     *
+     * @return the engine's id; empty if the request waits
+     */
+    default Optional<String> engineToSend() {
+        return this instanceof Send send ? Optional.of(send.engine()) : Optional.empty();
+    }
+
+    /**
+     * Returns the engine that should load the adapter of the request.
+     *
+     * @return the engine's id, if any
+     */
+    Optional<String> loadTarget();
+
     /**
      * Sends the request to an engine.
      *
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -202,14 +202,17 @@
     }
 
     private void onSilenceGuarded() {
-        if (!mEnded && mProxiedRequest.tryLeaveSilentEngine(mEngine)) {
-            markEnded();
-            closeConnection();
-            health().ifPresent(h -> h.onFailure(mContext.now()));
-            mProxiedRequest.retryElsewhere(mEngine, "silent");
+        if (!mEnded) {
+            mProxiedRequest.tryLeaveSilentEngine(mEngine, this::endSilent);
         }
     }
 
+    private void endSilent() {
+        markEnded();
+        closeConnection();
+        health().ifPresent(h -> h.onFailure(mContext.now()));
+    }
+
     private Optional<EngineHealth> health() {
         return mContext.dispatcher().health(mEngine.id());
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -266,34 +266,44 @@
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
     void retryElsewhere(Engine engine, String cause) {
+        onAttemptRetried(engine, cause);
+        placeOrWait();
+    }
+
+    private void onAttemptRetried(Engine engine, String cause) {
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         mExcludedEngines.add(engine.id());
         onStreamInterrupted();
-        placeOrWait();
     }
 
     /**
-     * Returns whether the request should leave a silent engine, and takes a retry from the budget
-     * if so. It leaves only if another engine can take it now, as the silent one may still respond.
+     * Moves the request from a silent engine to another one, with a retry from the budget. It stays
+     * if no other one can take it now, as the silent one may still respond.
+     *
+     * @param attemptCloser ends the attempt at the silent engine
      */
-    boolean tryLeaveSilentEngine(Engine engine) {
-        if (!mayRetry()) {
-            return false;
-        }
-        Set<String> excluded = new HashSet<>(mExcludedEngines);
-        excluded.add(engine.id());
+    void tryLeaveSilentEngine(Engine engine, Runnable attemptCloser) {
         long now = mContext.now();
-        DispatchRequest dispatchRequest =
+        DispatchRequest next =
                 mResponse.hasStarted() ? mDispatchRequest.resumedAt(now) : mDispatchRequest;
-        Placement placement = mContext.dispatcher().place(dispatchRequest, excluded, now);
-        if (placement instanceof Placement.Send send && !send.engine().equals(engine.id())) {
-            return mContext.tryRetry(mDispatchRequest.service());
+        if (!mayRetry() || mTraits.isBlocked() || !mContext.maySend(next, mRoute)) {
+            return;
         }
-        if (placement instanceof Placement.Wait wait) {
-            wait.loadTarget().ifPresent(e -> mContext.requestAdapter(dispatchRequest, e));
+        Set<String> excluded = new HashSet<>(mExcludedEngines);
+        excluded.add(engine.id());
+        Placement placement = mContext.dispatcher().place(next, excluded, now);
+        placement.loadTarget().ifPresent(e -> mContext.requestAdapter(next, e));
+        Optional<Engine> target =
+                placement
+                        .engineToSend()
+                        .filter(e -> !e.equals(engine.id()))
+                        .flatMap(mContext.catalog()::engine);
+        if (target.isPresent() && mContext.tryRetry(mDispatchRequest.service())) {
+            attemptCloser.run();
+            onAttemptRetried(engine, "silent");
+            sendTo(target.get(), now);
         }
-        return false;
     }
 
     /** Handles the complete delivery of an engine's response. */
