Stop: a response that has begun goes on until the exit

Cause: the final answers ended all open requests, 7.3 s after SIGTERM. A response that has begun can't get one; it was only cut sooner. The process stays until 7.77 s.

Now final answers go to requests whose responses have not begun. The others go on until the exit and are cut there, before the process halts, so that they don't look complete. The main thread waits a little longer than that (forcedExitNanos), so that it can't halt before the event loop has cut and logged them.

--- a/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
+++ b/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
@@ -34,6 +34,9 @@
     /** Share of the reserve that is left when the process exits at the latest. */
     private static final int EXIT_MARGIN_DIVISOR = 3;
 
+    /** Share of the reserve that is left if the event loop does not exit in time. */
+    private static final int FORCED_EXIT_MARGIN_DIVISOR = 6;
+
     /** Safety factor for requests that may run only once, as nobody can repeat one that was cut. */
     private static final int ONCE_FACTOR = 2;
 
@@ -50,7 +53,8 @@
     }
 
     /**
-     * Returns when all requests that are still open get their final answers.
+     * Returns when all requests whose responses have not begun get their final answers. A response
+     * that has begun goes on until the exit, as no final answer can follow it.
      *
      * @return the monotonic time in nanoseconds
      */
@@ -59,7 +63,8 @@
     }
 
     /**
-     * Returns when the process exits, even if answers were not yet written.
+     * Returns when responses that have begun are cut and the process exits, even if answers were
+     * not yet written.
      *
      * @return the monotonic time in nanoseconds
      */
@@ -67,6 +72,15 @@
         return startNanos + graceNanos - reserveNanos() / EXIT_MARGIN_DIVISOR;
     }
 
+    /**
+     * Returns when the process exits even if its event loop does not.
+     *
+     * @return the monotonic time in nanoseconds
+     */
+    public long forcedExitNanos() {
+        return startNanos + graceNanos - reserveNanos() / FORCED_EXIT_MARGIN_DIVISOR;
+    }
+
     private long reserveNanos() {
         return Math.min(MAX_RESERVE_NANOS, graceNanos / RESERVE_DIVISOR);
     }
--- a/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
+++ b/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
@@ -63,7 +63,8 @@
             DrainSchedule schedule = new DrainSchedule(STOP, millis(grace));
             then(schedule.idleCloseNanos()).isBetween(STOP, schedule.finalAnswersNanos());
             then(schedule.finalAnswersNanos()).isLessThan(schedule.exitNanos());
-            then(schedule.exitNanos()).isLessThan(STOP + millis(grace));
+            then(schedule.exitNanos()).isLessThan(schedule.forcedExitNanos());
+            then(schedule.forcedExitNanos()).isLessThan(STOP + millis(grace));
         }
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -205,7 +205,7 @@
 
     private void awaitDrained(CountDownLatch drained, DrainSchedule schedule) {
         try {
-            long waitNanos = schedule.exitNanos() - schedule.startNanos();
+            long waitNanos = schedule.forcedExitNanos() - mContext.clock().now();
             boolean inTime = drained.await(waitNanos, TimeUnit.NANOSECONDS);
             mContext.log().event("stopped", "drained", inTime);
         } catch (InterruptedException e) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Drain.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Drain.java
@@ -9,8 +9,9 @@
  * A planned stop of a node, from the stop signal until the process may exit.
  *
  * <p>Invariants: no request is sent to an engine once the process may exit; each request that was
- * read gets a final answer before, unless its response can't be written in time. Not thread-safe;
- * used on the node's event loop.
+ * read gets a final answer before, unless its response has begun or can't be written in time; a
+ * response that has begun is cut at the exit only, so that it doesn't look complete. Not
+ * thread-safe; used on the node's event loop.
  */
 final class Drain {
     private static final long POLL_MILLIS = 10;
@@ -48,11 +49,12 @@
         if (!mContext.isClosed() && now >= mSchedule.finalAnswersNanos()) {
             mContext.close();
             logEnd();
-            mContext.endAll();
+            mContext.sendFinalAnswers();
         }
         boolean drained = mIdleClosed && mContext.openRequests() == 0 && mContext.isFlushed();
         if (drained || now >= mSchedule.exitNanos()) {
             mContext.close();
+            mContext.endAll();
             mContext.node().vertx().cancelTimer(timer);
             mDone.complete();
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -290,9 +290,17 @@
         return mOpen.size();
     }
 
-    /** Ends all open requests, each with an error that tells whether it may have run. */
+    /** Sends final answers to all open requests whose responses have not begun. */
+    void sendFinalAnswers() {
+        mOpen.stream()
+                .filter(r -> !r.response().hasStarted())
+                .toList()
+                .forEach(r -> r.endNow("FINAL_ANSWERS"));
+    }
+
+    /** Ends all open requests; responses that have begun are cut. */
     void endAll() {
-        List.copyOf(mOpen).forEach(r -> r.endNow("FINAL_ANSWERS"));
+        List.copyOf(mOpen).forEach(r -> r.endNow("EXIT"));
     }
 
     /** Records that a response on a connection announces its close. */
