Stop: a failure of an engine is delivered if no retry may be sent

Callers that got a 5xx of an engine late in a stop received the node's own 502 in its place, and a retry was taken from the budget for nothing.

Cause: whether there may be a retry did not ask the stop; the placement after it did, once the engine's response had been dropped. The check is now one of those that decide on a retry, before the response is dropped.

AnswersInAStopTest#failure_ofAnEngineIsDeliveredIfNoOtherMayBeUsed failed before (502 for 500; 1 of 1) and passes now. LateInTheGraceTest, EntryNodeTest and LostEngineTest pass.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -250,18 +250,25 @@
     }
 
     /**
-     * Takes a retry from the budget if the route and the remaining time allow one; returns whether
-     * the request may be retried.
+     * Takes a retry from the budget if the route, the remaining time and a planned stop allow one;
+     * returns whether the request may be retried.
      */
     boolean tryTakeRetry() {
         return mayRetry() && mContext.tryRetry(mDispatchRequest.service());
     }
 
+    private DispatchRequest nextRequest() {
+        return mResponse.hasStarted()
+                ? mDispatchRequest.resumedAt(mContext.now())
+                : mDispatchRequest;
+    }
+
     private boolean mayRetry() {
         return mRoute.isRetryable()
                 && mResponse.acceptsEvents()
                 && mRuns < mRoute.maxAttempts()
-                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now());
+                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
+                && mContext.maySend(nextRequest(), mRoute);
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
@@ -285,9 +292,8 @@
      */
     void tryLeaveSilentEngine(Engine engine, Runnable attemptCloser) {
         long now = mContext.now();
-        DispatchRequest next =
-                mResponse.hasStarted() ? mDispatchRequest.resumedAt(now) : mDispatchRequest;
-        if (!mayRetry() || mTraits.isBlocked() || !mContext.maySend(next, mRoute)) {
+        DispatchRequest next = nextRequest();
+        if (!mayRetry() || mTraits.isBlocked()) {
             return;
         }
         Set<String> excluded = new HashSet<>(mExcludedEngines);
@@ -316,8 +322,7 @@
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
         mContext.onLeftEngine(this);
-        mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
-        mContext.publishWork(mDispatchRequest, engine);
+        mContext.releaseEngine(mDispatchRequest, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
             mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
@@ -384,13 +389,8 @@
         mDone = true;
         mContext.onRequestEnded(this);
         mTimers.cancelAll();
-        Optional<Attempt> attempt = mAttempt;
+        mAttempt.ifPresent(a -> mContext.releaseEngine(mDispatchRequest, a.engine()));
         mAttempt = Optional.empty();
-        attempt.ifPresent(
-                a -> {
-                    mContext.dispatcher().onEnded(a.engine().id(), mDispatchRequest);
-                    mContext.publishWork(mDispatchRequest, a.engine());
-                });
         mContext.node().metrics().countRequest(mDispatchRequest.service(), outcome);
         mLog.logEnded(mRoute, mDispatchRequest, outcome, detail, mResponse, mContext.now());
         mContext.dispatchWaiting();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -279,6 +279,12 @@
         mOrders.requestAdapter(engine, demand);
     }
 
+    /** Records that a request is no longer at an engine, and publishes that. */
+    void releaseEngine(DispatchRequest request, Engine engine) {
+        mDispatcher.onEnded(engine.id(), request);
+        publishWork(request, engine);
+    }
+
     /** Publishes this node's work on an engine, which a request has changed. */
     void publishWork(DispatchRequest request, Engine engine) {
         if (request.needsModelEngine()) {
