Stop: a connection with a pipelined request is not idle

A client that pipelined two requests before SIGTERM lost the second one: 2.6 s after the signal its connection was closed as idle, while an engine worked on it (LOST).

Cause: a set held the connections with an open request. Vert.x begins the next request that was read within the end of the response before, and calls the end handler of that response only then; so the entry of the new request was removed. Now the open request of each connection is kept, and the end of a response removes its own request only.

AnswersInAStopTest#request_thatIsPipelinedBehindAnAnswerBeforeTheStopIsAnswered failed before (1 of 1, closed 2.6 s after SIGTERM) and passes now. DrainUnderLoadTest passes.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -60,7 +61,10 @@
     private final ResidencyTable mResidency;
     private final CrashTraits mCrashTraits;
     private final Set<HttpConnection> mConnections = new HashSet<>();
-    private final Set<HttpConnection> mBusyConnections = new HashSet<>();
+
+    /** The last request of each connection that is being read or answered. */
+    private final Map<HttpConnection, HttpServerRequest> mOpenRequests = new IdentityHashMap<>();
+
     private RequestContext mContext;
     private HttpServer mServer;
     private long mDispatchTimer;
@@ -153,7 +157,7 @@
         connection.closeHandler(
                 v -> {
                     mConnections.remove(connection);
-                    mBusyConnections.remove(connection);
+                    mOpenRequests.remove(connection);
                     mContext.onConnectionClosed(connection);
                 });
     }
@@ -163,8 +167,9 @@
             // Its client was told that the connection ends with the response before.
             return;
         }
-        mBusyConnections.add(request.connection());
-        request.response().endHandler(v -> mBusyConnections.remove(request.connection()));
+        mOpenRequests.put(request.connection(), request);
+        // The next request may have been read before this is called.
+        request.response().endHandler(v -> mOpenRequests.remove(request.connection(), request));
         int maxBodyBytes =
                 mContext.catalog()
                         .configuration()
@@ -261,7 +266,7 @@
 
     private void closeIdleConnections() {
         mConnections.stream()
-                .filter(c -> !mBusyConnections.contains(c))
+                .filter(c -> !mOpenRequests.containsKey(c))
                 .toList()
                 .forEach(HttpConnection::close);
     }
