Stop: a request behind a stream is answered on its connection

A client that pipelined a request behind a stream lost it: the request was passed on to an engine, then its connection was closed with the end of the stream (LOST).

Cause: a response that ends during a stop closes its connection. If its head was sent before the signal it announced no close, so that the next request on the connection had begun by then.

Now the end of a response closes the connection only if no request has begun on it. The next one is handled as any other during a stop, sent or refused, and its response announces the close. The requests and states of connections are in ClientConnections.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -77,7 +77,7 @@
     private void addCloseHeader() {
         if (mContext.isDraining()) {
             mResponse.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
-            mContext.markClosing(mRequest.connection());
+            mContext.connections().markClosing(mRequest.connection());
         }
     }
 
@@ -127,8 +127,9 @@
         written.onComplete(r -> closeIfDraining());
     }
 
+    /** Closes the connection in a planned stop, unless the next request on it has begun. */
     private void closeIfDraining() {
-        if (mContext.isDraining()) {
+        if (mContext.isDraining() && mContext.connections().isIdle(mRequest.connection())) {
             mRequest.connection().close();
         }
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -6,12 +6,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.fescuehollow.catalog.ClientLimits;
 import org.fescuehollow.catalog.Configuration;
@@ -60,11 +57,6 @@
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final CrashTraits mCrashTraits;
-    private final Set<HttpConnection> mConnections = new HashSet<>();
-
-    /** The last request of each connection that is being read or answered. */
-    private final Map<HttpConnection, HttpServerRequest> mOpenRequests = new IdentityHashMap<>();
-
     private RequestContext mContext;
     private HttpServer mServer;
     private long mDispatchTimer;
@@ -153,23 +145,15 @@
     }
 
     private void onConnection(HttpConnection connection) {
-        mConnections.add(connection);
-        connection.closeHandler(
-                v -> {
-                    mConnections.remove(connection);
-                    mOpenRequests.remove(connection);
-                    mContext.onConnectionClosed(connection);
-                });
+        mContext.connections().onOpened(connection);
+        connection.closeHandler(v -> mContext.connections().onClosed(connection));
     }
 
     private void onRequest(HttpServerRequest request) {
-        if (mContext.isClosing(request.connection())) {
-            // Its client was told that the connection ends with the response before.
+        if (!mContext.connections().tryBegin(request)) {
             return;
         }
-        mOpenRequests.put(request.connection(), request);
-        // The next request may have been read before this is called.
-        request.response().endHandler(v -> mOpenRequests.remove(request.connection(), request));
+        request.response().endHandler(v -> mContext.connections().onResponseEnded(request));
         int maxBodyBytes =
                 mContext.catalog()
                         .configuration()
@@ -265,10 +249,7 @@
     }
 
     private void closeIdleConnections() {
-        mConnections.stream()
-                .filter(c -> !mOpenRequests.containsKey(c))
-                .toList()
-                .forEach(HttpConnection::close);
+        mContext.connections().idle().forEach(HttpConnection::close);
     }
 
     @Override
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -71,8 +71,7 @@
     private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
     private final ResponseTimes mResponseTimes = new ResponseTimes();
     private Optional<DrainSchedule> mDrainSchedule = Optional.empty();
-    private final Set<HttpConnection> mClosingConnections =
-            Collections.newSetFromMap(new IdentityHashMap<>());
+    private final ClientConnections mConnections = new ClientConnections();
     private int mUnflushedResponses;
     private boolean mClosed;
 
@@ -309,17 +308,9 @@
         List.copyOf(mOpen).forEach(r -> r.endNow("EXIT"));
     }
 
-    /** Records that a response on a connection announces its close. */
-    void markClosing(HttpConnection connection) {
-        mClosingConnections.add(connection);
-    }
-
-    boolean isClosing(HttpConnection connection) {
-        return mClosingConnections.contains(connection);
-    }
-
-    void onConnectionClosed(HttpConnection connection) {
-        mClosingConnections.remove(connection);
+    /** Returns the connections of clients. */
+    ClientConnections connections() {
+        return mConnections;
     }
 
     /** Records that the last bytes of a response are being written, until the future completes. */
--- a/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
@@ -348,6 +348,7 @@
             mProcess.terminate();
             String responses = client.read(100_000);
             then(responses).contains("id: 3\ndata: c\n\n");
+            then(responses.split("HTTP/1.1 ", -1)).hasSize(3);
             long passedOn =
                     mServer.receivedRequests().stream().filter(r -> r.id().equals("id-2")).count();
             then(responses.split("answer of i-1 to ", -1)).hasSize((int) passedOn + 1);
