--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -6,11 +6,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.fescuehollow.catalog.ClientLimits;
 import org.fescuehollow.catalog.Configuration;
@@ -59,8 +57,6 @@
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final CrashTraits mCrashTraits;
-    private final Set<HttpConnection> mConnections = new HashSet<>();
-    private final Set<HttpConnection> mBusyConnections = new HashSet<>();
     private RequestContext mContext;
     private HttpServer mServer;
     private long mDispatchTimer;
@@ -149,22 +145,15 @@
     }
 
     private void onConnection(HttpConnection connection) {
-        mConnections.add(connection);
-        connection.closeHandler(
-                v -> {
-                    mConnections.remove(connection);
-                    mBusyConnections.remove(connection);
-                    mContext.onConnectionClosed(connection);
-                });
+        mContext.connections().onOpened(connection);
+        connection.closeHandler(v -> mContext.connections().onClosed(connection));
     }
 
     private void onRequest(HttpServerRequest request) {
-        if (mContext.isClosing(request.connection())) {
-            // Its client was told that the connection ends with the response before.
+        if (!mContext.connections().tryBegin(request)) {
             return;
         }
-        mBusyConnections.add(request.connection());
-        request.response().endHandler(v -> mBusyConnections.remove(request.connection()));
+        request.response().endHandler(v -> mContext.connections().onResponseEnded(request));
         int maxBodyBytes =
                 mContext.catalog()
                         .configuration()
@@ -260,10 +249,7 @@
     }
 
     private void closeIdleConnections() {
-        mConnections.stream()
-                .filter(c -> !mBusyConnections.contains(c))
-                .toList()
-                .forEach(HttpConnection::close);
+        mContext.connections().idle().forEach(HttpConnection::close);
     }
 
     @Override
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -30,6 +30,7 @@
     private final RequestLog mLog;
     private final RequestGuard mGuard;
     private final RequestTraits mTraits;
+    private final RequestTimers mTimers;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
     private final EventStreamReader mEvents;
@@ -40,8 +41,6 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mLoadingEngine = "";
-    private long mDeadlineTimer = -1;
-    private long mWaitTimer = -1;
 
     ProxiedRequest(
             RequestContext context,
@@ -60,7 +59,8 @@
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
-        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
+        mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow("EXCEPTION"));
+        mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
 
     DispatchRequest dispatchRequest() {
@@ -114,16 +114,12 @@
     private void startGuarded() {
         mClientRequest.response().closeHandler(mGuard.handler(v -> onClientDisconnected()));
         mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
-        mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
+        mTimers.startDeadline(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
         placeOrWait();
     }
 
-    private long setTimer(long millis, Runnable action) {
-        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> mGuard.run(action));
-    }
-
     private void placeOrWait() {
         if (mDone || place()) {
             return;
@@ -134,12 +130,7 @@
             return;
         }
         mContext.waitQueue().add(this);
-        if (mWaitTimer < 0) {
-            mWaitTimer =
-                    setTimer(
-                            QueueTimeout.remainingMillis(mDispatchRequest, now),
-                            this::onWaitTimeout);
-        }
+        mTimers.startWait(QueueTimeout.remainingMillis(mDispatchRequest, now), this::onWaitTimeout);
         mLog.logWaiting(mDispatchRequest, mWaitReason, mLoadingEngine, now);
     }
 
@@ -242,6 +233,7 @@
             onStreamInterrupted();
             placeOrWait();
         } else {
+            mWaitReason = "NO_RETRY";
             fail(GatewayError.ANSWER_LOST);
         }
     }
@@ -252,57 +244,72 @@
      */
     private void onStreamInterrupted() {
         if (mResponse.hasStarted()) {
-            mContext.node().vertx().cancelTimer(mWaitTimer);
-            mWaitTimer = -1;
+            mTimers.cancelWait();
             mDispatchRequest = mDispatchRequest.resumedAt(mContext.now());
         }
     }
 
     /**
-     * Takes a retry from the budget if the route and the remaining time allow one; returns whether
-     * the request may be retried.
+     * Takes a retry from the budget if the route, the remaining time and a planned stop allow one;
+     * returns whether the request may be retried.
      */
     boolean tryTakeRetry() {
         return mayRetry() && mContext.tryRetry(mDispatchRequest.service());
     }
 
+    private DispatchRequest nextRequest() {
+        return mResponse.hasStarted()
+                ? mDispatchRequest.resumedAt(mContext.now())
+                : mDispatchRequest;
+    }
+
     private boolean mayRetry() {
         return mRoute.isRetryable()
                 && mResponse.acceptsEvents()
                 && mRuns < mRoute.maxAttempts()
-                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now());
+                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
+                && mContext.maySend(nextRequest(), mRoute);
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
     void retryElsewhere(Engine engine, String cause) {
+        onAttemptRetried(engine, cause);
+        placeOrWait();
+    }
+
+    private void onAttemptRetried(Engine engine, String cause) {
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         mExcludedEngines.add(engine.id());
         onStreamInterrupted();
-        placeOrWait();
     }
 
     /**
-     * Returns whether the request should leave a silent engine, and takes a retry from the budget
-     * if so. It leaves only if another engine can take it now, as the silent one may still respond.
+     * Moves the request from a silent engine to another one, with a retry from the budget. It stays
+     * if no other one can take it now, as the silent one may still respond.
+     *
+     * @param attemptCloser ends the attempt at the silent engine
      */
-    boolean tryLeaveSilentEngine(Engine engine) {
-        if (!mayRetry()) {
-            return false;
+    void tryLeaveSilentEngine(Engine engine, Runnable attemptCloser) {
+        long now = mContext.now();
+        DispatchRequest next = nextRequest();
+        if (!mayRetry() || mTraits.isBlocked()) {
+            return;
         }
         Set<String> excluded = new HashSet<>(mExcludedEngines);
         excluded.add(engine.id());
-        long now = mContext.now();
-        DispatchRequest dispatchRequest =
-                mResponse.hasStarted() ? mDispatchRequest.resumedAt(now) : mDispatchRequest;
-        Placement placement = mContext.dispatcher().place(dispatchRequest, excluded, now);
-        if (placement instanceof Placement.Send send && !send.engine().equals(engine.id())) {
-            return mContext.tryRetry(mDispatchRequest.service());
+        Placement placement = mContext.dispatcher().place(next, excluded, now);
+        placement.loadTarget().ifPresent(e -> mContext.requestAdapter(next, e));
+        Optional<Engine> target =
+                placement
+                        .engineToSend()
+                        .filter(e -> !e.equals(engine.id()))
+                        .flatMap(mContext.catalog()::engine);
+        if (target.isPresent() && mContext.tryRetry(mDispatchRequest.service())) {
+            attemptCloser.run();
+            onAttemptRetried(engine, "silent");
+            sendTo(target.get(), now);
         }
-        if (placement instanceof Placement.Wait wait) {
-            wait.loadTarget().ifPresent(e -> mContext.requestAdapter(dispatchRequest, e));
-        }
-        return false;
     }
 
     /** Handles the complete delivery of an engine's response. */
@@ -315,8 +322,7 @@
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
         mContext.onLeftEngine(this);
-        mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
-        mContext.publishWork(mDispatchRequest, engine);
+        mContext.releaseEngine(mDispatchRequest, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
             mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
@@ -365,10 +371,11 @@
     }
 
     /** Ends the request at once, with an error that tells whether it may have run. */
-    void endNow() {
+    void endNow(String reason) {
         if (mDone) {
             return;
         }
+        mWaitReason = reason;
         mMayHaveRun |= mRuns > 0;
         mGuard.run(() -> mAttempt.ifPresent(Attempt::cancel));
         mGuard.run(this::giveUp);
@@ -381,15 +388,9 @@
     private void finish(String outcome, String detail) {
         mDone = true;
         mContext.onRequestEnded(this);
-        mContext.node().vertx().cancelTimer(mDeadlineTimer);
-        mContext.node().vertx().cancelTimer(mWaitTimer);
-        Optional<Attempt> attempt = mAttempt;
+        mTimers.cancelAll();
+        mAttempt.ifPresent(a -> mContext.releaseEngine(mDispatchRequest, a.engine()));
         mAttempt = Optional.empty();
-        attempt.ifPresent(
-                a -> {
-                    mContext.dispatcher().onEnded(a.engine().id(), mDispatchRequest);
-                    mContext.publishWork(mDispatchRequest, a.engine());
-                });
         mContext.node().metrics().countRequest(mDispatchRequest.service(), outcome);
         mLog.logEnded(mRoute, mDispatchRequest, outcome, detail, mResponse, mContext.now());
         mContext.dispatchWaiting();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -71,8 +71,7 @@
     private final Set<ProxiedRequest> mOpen = new LinkedHashSet<>();
     private final ResponseTimes mResponseTimes = new ResponseTimes();
     private Optional<DrainSchedule> mDrainSchedule = Optional.empty();
-    private final Set<HttpConnection> mClosingConnections =
-            Collections.newSetFromMap(new IdentityHashMap<>());
+    private final ClientConnections mConnections = new ClientConnections();
     private int mUnflushedResponses;
     private boolean mClosed;
 
@@ -279,6 +278,12 @@
         mOrders.requestAdapter(engine, demand);
     }
 
+    /** Records that a request is no longer at an engine, and publishes that. */
+    void releaseEngine(DispatchRequest request, Engine engine) {
+        mDispatcher.onEnded(engine.id(), request);
+        publishWork(request, engine);
+    }
+
     /** Publishes this node's work on an engine, which a request has changed. */
     void publishWork(DispatchRequest request, Engine engine) {
         if (request.needsModelEngine()) {
@@ -290,22 +295,22 @@
         return mOpen.size();
     }
 
-    /** Ends all open requests, each with an error that tells whether it may have run. */
-    void endAll() {
-        List.copyOf(mOpen).forEach(ProxiedRequest::endNow);
-    }
-
-    /** Records that a response on a connection announces its close. */
-    void markClosing(HttpConnection connection) {
-        mClosingConnections.add(connection);
+    /** Sends final answers to all open requests whose responses have not begun. */
+    void sendFinalAnswers() {
+        mOpen.stream()
+                .filter(r -> !r.response().hasStarted())
+                .toList()
+                .forEach(r -> r.endNow("FINAL_ANSWERS"));
     }
 
-    boolean isClosing(HttpConnection connection) {
-        return mClosingConnections.contains(connection);
+    /** Ends all open requests; responses that have begun are cut. */
+    void endAll() {
+        List.copyOf(mOpen).forEach(r -> r.endNow("EXIT"));
     }
 
-    void onConnectionClosed(HttpConnection connection) {
-        mClosingConnections.remove(connection);
+    /** Returns the connections of clients. */
+    ClientConnections connections() {
+        return mConnections;
     }
 
     /** Records that the last bytes of a response are being written, until the future completes. */
