Log: a line for each stream that a client takes up again

Nothing told that a request resumes a stream, or which one: Resumes wasn't read. The header is forwarded, as before.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -116,6 +116,7 @@
         mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
         mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
+        mLog.logTakeUp(mRoute, mHead);
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
         placeOrWait();
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
@@ -7,6 +7,7 @@
 import org.fescuehollow.dispatch.PromptSegment;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.gateway.log.EventLog;
+import org.fescuehollow.platform.RequestHead;
 
 /**
  * Logs the events of one request.
@@ -30,6 +31,22 @@
         mSilentMillis = time.toMillis();
     }
 
+    /** Logs that a client resumes a stream, if it does. */
+    void logTakeUp(Route route, RequestHead head) {
+        if (!head.lastEventId().isEmpty()) {
+            mLog.event(
+                    "take_up",
+                    "id",
+                    head.attemptId(),
+                    "route",
+                    route.name(),
+                    "after",
+                    head.lastEventId(),
+                    "resumes",
+                    head.resumes());
+        }
+    }
+
     void logWaiting(DispatchRequest request, String reason, String loadingEngine, long now) {
         mLog.event(
                 "waiting",
