--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,11 +5,9 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,11 +18,11 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fescuehollow.gateway.EntryNode;
 import org.fescuehollow.gateway.node.NodeSettings;
 
@@ -33,10 +31,6 @@
     private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
 
-    /** Ports below those that the operating system chooses for others. */
-    private static final int MIN_PORT = 12_000;
-
-    private static final int MAX_PORT = 30_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -55,23 +49,9 @@
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
-    private final int mListenPort = freePort(0);
-    private final int mReadinessPort = freePort(1);
-    private final int mExchangePort = freePort(0);
-
-    /** Returns a free port, by its parity unlike that of the node's other server. */
-    private static int freePort(int parity) {
-        while (true) {
-            int port = 2 * ThreadLocalRandom.current().nextInt(MIN_PORT / 2, MAX_PORT / 2) + parity;
-            try (ServerSocket s = new ServerSocket(port)) {
-                return s.getLocalPort();
-            } catch (BindException e) {
-                LOG.log(System.Logger.Level.DEBUG, "port {0} is in use", port);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-    }
+    private final int mListenPort = FreePorts.find(0);
+    private final int mReadinessPort = FreePorts.find(1);
+    private final int mExchangePort = FreePorts.find(0);
 
     public Vertx vertx() {
         return mVertx;
@@ -221,7 +201,15 @@
             node.start();
             mNodes.add(node);
         }
-        await(() -> readiness(0) == 200);
+        await(() -> IntStream.range(0, count).allMatch(i -> readiness(i) == 200));
+    }
+
+    /** Stops all nodes, without a planned stop, and starts as many anew. */
+    public void restartNodes() {
+        int count = mNodes.size();
+        mNodes.forEach(EntryNode::stop);
+        mNodes.clear();
+        startNodes(count);
     }
 
     /** Starts the first node in a process of its own. */
@@ -369,6 +357,11 @@
         }
     }
 
+    /** Returns the address of a path at a node, for clients. */
+    URI clientUri(int node, String path) {
+        return uri(node, mListenPort, path);
+    }
+
     private static URI uri(int node, int port, String path) {
         return URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
     }
