--- a/core/src/main/java/org/fescuehollow/catalog/Engine.java
+++ b/core/src/main/java/org/fescuehollow/catalog/Engine.java
@@ -11,6 +11,8 @@
  * @param id the id; a later incarnation may reuse it
  * @param startedMillis the Unix time of its start, which distinguishes incarnations; 0 if unknown
  * @param service the service it belongs to
+ * @param softwareVersion the version of its software, which has no order; empty if its entry names
+ *     none
  * @param host its IP address
  * @param port its TCP port
  * @param domain its failure domain
@@ -24,6 +26,7 @@
         String id,
         long startedMillis,
         String service,
+        String softwareVersion,
         String host,
         int port,
         String domain,
@@ -58,6 +61,7 @@
                 id,
                 startedMillis,
                 service,
+                softwareVersion,
                 host,
                 port,
                 domain,
--- a/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/EngineTableTest.java
@@ -37,7 +37,7 @@
 
     private static Engine engine(String id, long startedMillis) {
         return new Engine(
-                id, startedMillis, "s", "10.0.0.1", 80, "d", 4, false, 0, Set.of(), Map.of());
+                id, startedMillis, "s", "v1", "10.0.0.1", 80, "d", 4, false, 0, Set.of(), Map.of());
     }
 
     private boolean isUsable(String id) {
--- a/core/src/test/java/org/fescuehollow/catalog/LeaveReportsTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/LeaveReportsTest.java
@@ -10,7 +10,7 @@
 class LeaveReportsTest {
     private static final Duration READ_TIME = Duration.ofSeconds(4);
     private static final Engine ENGINE =
-            new Engine("e1", 1, "s", "10.0.0.1", 80, "d", 4, false, 0, Set.of(), Map.of());
+            new Engine("e1", 1, "s", "v1", "10.0.0.1", 80, "d", 4, false, 0, Set.of(), Map.of());
 
     private final LeaveReports mReports = new LeaveReports();
 
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -30,7 +30,7 @@
 
     private static Engine engine(String id, String domain, boolean draining) {
         return new Engine(
-                id, 1, "llm", "10.0.0.1", 80, domain, 4, draining, 0, Set.of("m"), Map.of());
+                id, 1, "llm", "v1", "10.0.0.1", 80, domain, 4, draining, 0, Set.of("m"), Map.of());
     }
 
     private void updateEngines(Engine... engines) {
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
@@ -15,7 +15,8 @@
 class EngineLoadTest {
     private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
     private static final Engine ENGINE =
-            new Engine("e1", 1, "llm", "10.0.0.1", 80, "d", 4, false, 0, Set.of("m"), Map.of());
+            new Engine(
+                    "e1", 1, "llm", "v1", "10.0.0.1", 80, "d", 4, false, 0, Set.of("m"), Map.of());
     private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EngineLoad mLoad = new EngineLoad(ENGINE);
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineRatesTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineRatesTest.java
@@ -25,7 +25,18 @@
 
     private static Engine engine(String id, long startedMillis) {
         return new Engine(
-                id, startedMillis, "llm", "10.0.0.1", 80, "north", 4, false, 0, Set.of(), Map.of());
+                id,
+                startedMillis,
+                "llm",
+                "v1",
+                "10.0.0.1",
+                80,
+                "north",
+                4,
+                false,
+                0,
+                Set.of(),
+                Map.of());
     }
 
     private static List<EngineRates> fleet(int nodes) {
--- a/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
@@ -44,7 +44,7 @@
 
     private static Engine engine(String id) {
         return new Engine(
-                id, 1, "llm", "10.0.0.1", 80, "north", 64, false, 0, Set.of("m"), Map.of());
+                id, 1, "llm", "v1", "10.0.0.1", 80, "north", 64, false, 0, Set.of("m"), Map.of());
     }
 
     private DispatchRequest request(int t) {
