Dispatcher: a request may name the only software version that may run it

What engines of two software versions write doesn't fit together, so a stream that has begun may go on only at its version. DispatchRequest carries that version, also when the stream is resumed, and the dispatcher filters by it before its fallbacks to failing or avoided engines and before it looks for a target of a load, so that none of them crosses versions.

Placement.Reason.NO_SERVER_OF_VERSION tells the caller that waiting is of no use: other engines of the service are in use, but none of that version.

--- a/core/src/main/java/org/fescuehollow/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/DispatchRequest.java
@@ -1,7 +1,9 @@
 package org.fescuehollow.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 import org.fescuehollow.catalog.AdapterKey;
+import org.fescuehollow.catalog.Engine;
 
 /**
  * The properties of a request that decide its placement.
@@ -20,6 +22,8 @@
  * @param objectiveNanos when its latency objective ends
  * @param deadlineNanos when the response must be complete
  * @param resumed true if the request continues a stream that lost its engine
+ * @param softwareVersion the only version of the engines' software that may run it; empty if any
+ *     may
  */
 public record DispatchRequest(
         String id,
@@ -33,7 +37,8 @@
         long arrivalNanos,
         long objectiveNanos,
         long deadlineNanos,
-        boolean resumed) {
+        boolean resumed,
+        Optional<String> softwareVersion) {
     /** Copies the segments. */
     public DispatchRequest {
         promptSegments = List.copyOf(promptSegments);
@@ -59,7 +64,41 @@
                 now,
                 now + objectiveNanos - arrivalNanos,
                 deadlineNanos,
-                true);
+                true,
+                softwareVersion);
+    }
+
+    /**
+     * Returns this request for engines of one software version.
+     *
+     * @param version the only version that may run it; empty if any may
+     * @return the request
+     */
+    public DispatchRequest withSoftwareVersion(Optional<String> version) {
+        return new DispatchRequest(
+                id,
+                service,
+                adapter,
+                minVersion,
+                promptTokens,
+                expectedOutputTokens,
+                promptSegments,
+                rank,
+                arrivalNanos,
+                objectiveNanos,
+                deadlineNanos,
+                resumed,
+                version);
+    }
+
+    /**
+     * Returns whether an engine's software may run this request.
+     *
+     * @param engine the engine
+     * @return true if the request accepts any version or that of the engine
+     */
+    public boolean acceptsSoftwareOf(Engine engine) {
+        return softwareVersion.isEmpty() || softwareVersion.get().equals(engine.softwareVersion());
     }
 
     /**
--- a/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Dispatcher.java
@@ -28,7 +28,8 @@
  * reordered or rejected instead of delaying all requests on the engine.
  *
  * <p>Invariants: an engine that is draining, in backoff or without the adapter is never chosen, nor
- * is one that takes no more requests of this node now. Not safe for concurrent use.
+ * is one that takes no more requests of this node now, or whose software the request doesn't
+ * accept. Not safe for concurrent use.
  */
 public final class Dispatcher {
     /** An engine is overloaded when it runs this many times the mean number of requests. */
@@ -125,9 +126,9 @@
      * @return the decision
      */
     public Placement place(DispatchRequest request, Set<String> avoided, long now) {
-        List<EngineLoad> usable = usableEngines(request.service(), avoided, now);
+        List<EngineLoad> usable = usableEngines(request, avoided, now);
         if (usable.isEmpty()) {
-            return new Placement.Wait(reasonForNoServer(request.service(), now), Optional.empty());
+            return new Placement.Wait(reasonForNoServer(request, now), Optional.empty());
         }
         EngineFit fit =
                 new EngineFit(
@@ -182,9 +183,9 @@
         return running > mean * OVERLOAD_MEAN_RATIO;
     }
 
-    private List<EngineLoad> usableEngines(String service, Set<String> avoided, long now) {
+    private List<EngineLoad> usableEngines(DispatchRequest request, Set<String> avoided, long now) {
         List<EngineLoad> available =
-                reachableEngines(service, now).stream()
+                reachableEngines(request, now).stream()
                         .filter(load -> mRates.maySend(load.engine(), now))
                         .toList();
         List<EngineLoad> healthy = excludeFailing(available, now);
@@ -193,14 +194,24 @@
         return preferred.isEmpty() ? healthy : preferred;
     }
 
-    private List<EngineLoad> reachableEngines(String service, long now) {
-        return mActiveByService.getOrDefault(service, List.of()).stream()
+    private List<EngineLoad> activeEngines(String service) {
+        return mActiveByService.getOrDefault(service, List.of());
+    }
+
+    private List<EngineLoad> reachableEngines(DispatchRequest request, long now) {
+        return activeEngines(request.service()).stream()
+                .filter(load -> request.acceptsSoftwareOf(load.engine()))
                 .filter(load -> !load.health().isInBackoff(now))
                 .toList();
     }
 
-    private Placement.Reason reasonForNoServer(String service, long now) {
-        return reachableEngines(service, now).isEmpty()
+    private Placement.Reason reasonForNoServer(DispatchRequest request, long now) {
+        List<EngineLoad> active = activeEngines(request.service());
+        if (!active.isEmpty()
+                && active.stream().noneMatch(e -> request.acceptsSoftwareOf(e.engine()))) {
+            return Placement.Reason.NO_SERVER_OF_VERSION;
+        }
+        return reachableEngines(request, now).isEmpty()
                 ? Placement.Reason.NO_SERVER
                 : Placement.Reason.ENGINES_LIMITED;
     }
--- a/core/src/main/java/org/fescuehollow/dispatch/Placement.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Placement.java
@@ -29,6 +29,8 @@
     enum Reason {
         /** No server of the service is known or available. */
         NO_SERVER,
+        /** Servers of the service are in use, but none of the software version it needs. */
+        NO_SERVER_OF_VERSION,
         /** All available engines take no more requests of this node now. */
         ENGINES_LIMITED,
         /** No available engine has the adapter loaded. */
--- a/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/DispatcherTest.java
@@ -55,7 +55,8 @@
                 0,
                 SECOND_NANOS,
                 5 * SECOND_NANOS,
-                false);
+                false,
+                Optional.empty());
     }
 
     private String placeAndSend(DispatchRequest request, long now) {
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
@@ -34,7 +35,8 @@
                 0,
                 SECOND_NANOS,
                 5 * SECOND_NANOS,
-                false);
+                false,
+                Optional.empty());
     }
 
     private static EngineLoad.Work work(int running) {
--- a/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/PromptOverloadReplayTest.java
@@ -61,7 +61,8 @@
                 now,
                 now + nanos(OBJECTIVE_MILLIS),
                 now + nanos(5_000),
-                false);
+                false,
+                Optional.empty());
     }
 
     private static long nanos(int millis) {
--- a/core/src/test/java/org/fescuehollow/dispatch/QueueTimeoutTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/QueueTimeoutTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.fescuehollow.catalog.AdapterKey;
 import org.junit.jupiter.api.Test;
 
@@ -15,7 +16,19 @@
         long target = Duration.ofMillis(targetMillis).toNanos();
         long deadline = Duration.ofMillis(deadlineMillis).toNanos();
         return new DispatchRequest(
-                "id", "s", adapter, 0, 10, 10, List.of(), 0, 0, target, deadline, false);
+                "id",
+                "s",
+                adapter,
+                0,
+                10,
+                10,
+                List.of(),
+                0,
+                0,
+                target,
+                deadline,
+                false,
+                Optional.empty());
     }
 
     private static long nanos(long millis) {
--- a/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/WaitQueueTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import org.fescuehollow.catalog.AdapterKey;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,8 @@
                 arrivalNanos,
                 objectiveNanos,
                 1_000,
-                false);
+                false,
+                Optional.empty());
     }
 
     private static List<String> acceptedOrder(long now, DispatchRequest... requests) {
--- a/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
+++ b/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.fescuehollow.catalog.AdapterKey;
@@ -48,7 +49,8 @@
                 arrival,
                 arrival + millis(objective),
                 arrival + millis(deadline),
-                false);
+                false,
+                Optional.empty());
     }
 
     private static boolean maySend(
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/DispatchRequests.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/DispatchRequests.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
 import org.fescuehollow.catalog.Route;
@@ -30,7 +31,8 @@
                 now,
                 now + Duration.ofMillis(route.objectiveMillis()).toNanos(),
                 now + Duration.ofMillis(millis).toNanos(),
-                false);
+                false,
+                Optional.empty());
     }
 
     static Set<Long> traits(HttpServerRequest client, DispatchRequest request, Buffer body) {
