Versions: replays the changes that the store still keeps

A process that has just started, perhaps with all others, can't know which software versions were in service when the streams began that it is asked to resume. VersionReplay reconstructs the successive shares from the changes since an older revision, and says how long they cover, counted in heartbeats, as changes carry no time.

--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -0,0 +1,168 @@
+package org.fescuehollow.versions;
+
+import static java.util.stream.Collectors.groupingBy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehollow.catalog.Engine;
+
+/**
+ * Reconstructs the shares that preceded the current entries from the changes that the store still
+ * keeps, for a process that has just started.
+ *
+ * <p>An entry that was created after the first of these changes joins with its first write; the
+ * others were there from the start, but what they said is known only from their next write on. So
+ * the result begins with the change by which each of those has been written or removed once. Its
+ * age follows from the heartbeats since, of which each engine writes one per interval.
+ *
+ * <p>Not safe for concurrent use.
+ */
+public final class VersionReplay {
+    /** Of the engines that were there throughout, this share may have missed heartbeats. */
+    private static final double LATE_SHARE = 0.25;
+
+    private final List<Event> mEvents;
+    private final Duration mHeartbeat;
+    private final Map<String, List<Integer>> mWrites = new HashMap<>();
+    private final Map<String, Integer> mLastRemovals = new HashMap<>();
+    private final Map<String, Engine> mEngines = new HashMap<>();
+    private final Map<ServiceModel, List<AgedShares>> mShares = new HashMap<>();
+
+    /**
+     * An entry as it is now.
+     *
+     * @param id the engine's id
+     * @param created the revision of its creation
+     * @param engine the engine; empty if the entry names none
+     */
+    public record Entry(String id, long created, Optional<Engine> engine) {}
+
+    /**
+     * A change of an entry.
+     *
+     * @param id the engine's id
+     * @param created the revision of the entry's creation; ignored for a removal
+     * @param engine the engine as it was written; empty for a removal, or if the entry names none
+     * @param removed whether the entry was removed
+     */
+    public record Event(String id, long created, Optional<Engine> engine, boolean removed) {}
+
+    /**
+     * The reconstructed shares.
+     *
+     * @param covered how long before the last change the shares are known, at least
+     * @param shares the successive shares of each service and base model in that time
+     */
+    public record Result(Duration covered, Map<ServiceModel, List<AgedShares>> shares) {}
+
+    private VersionReplay(List<Event> events, Duration heartbeat) {
+        mEvents = events;
+        mHeartbeat = heartbeat;
+        for (int i = 0; i < events.size(); i++) {
+            Event e = events.get(i);
+            if (e.removed()) {
+                mLastRemovals.put(e.id(), i);
+            } else {
+                mWrites.computeIfAbsent(e.id(), id -> new ArrayList<>()).add(i);
+            }
+        }
+    }
+
+    /**
+     * Replays the changes.
+     *
+     * @param entries the entries as they are now
+     * @param events all changes after a revision, in order
+     * @param afterRevision that revision
+     * @param heartbeat the time between two writes of an engine that doesn't change
+     * @return the shares
+     */
+    public static Result replay(
+            Collection<Entry> entries, List<Event> events, long afterRevision, Duration heartbeat) {
+        return new VersionReplay(events, heartbeat).run(entries, afterRevision);
+    }
+
+    private Result run(Collection<Entry> entries, long afterRevision) {
+        Map<String, List<Event>> byId = mEvents.stream().collect(groupingBy(Event::id));
+        Set<String> unknown = new HashSet<>();
+        byId.forEach(
+                (id, events) -> {
+                    Event first = events.get(0);
+                    if (first.removed() || first.created() <= afterRevision) {
+                        unknown.add(id);
+                    }
+                });
+        entries.stream()
+                .filter(e -> !byId.containsKey(e.id()) && e.created() <= afterRevision)
+                .forEach(e -> e.engine().ifPresent(engine -> mEngines.put(e.id(), engine)));
+        int next = 0;
+        while (!unknown.isEmpty()) {
+            apply(mEvents.get(next));
+            unknown.remove(mEvents.get(next).id());
+            next++;
+        }
+        int start = next;
+        keysOf(mEngines.values()).forEach(k -> addShares(k, start));
+        for (; next < mEvents.size(); next++) {
+            int applied = next + 1;
+            Set<ServiceModel> changed = apply(mEvents.get(next));
+            changed.forEach(k -> addShares(k, applied));
+        }
+        return new Result(minAge(start), mShares);
+    }
+
+    /** Applies a change and returns which shares it may have changed. */
+    private Set<ServiceModel> apply(Event event) {
+        Optional<Engine> before = Optional.ofNullable(mEngines.remove(event.id()));
+        event.engine().ifPresent(e -> mEngines.put(event.id(), e));
+        Set<ServiceModel> keys = new HashSet<>();
+        if (!Serving.isSame(before, event.engine())) {
+            before.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
+            event.engine().ifPresent(e -> keys.addAll(ServiceModel.of(e)));
+        }
+        return keys;
+    }
+
+    private static Set<ServiceModel> keysOf(Collection<Engine> engines) {
+        Set<ServiceModel> keys = new HashSet<>();
+        engines.forEach(e -> keys.addAll(ServiceModel.of(e)));
+        return keys;
+    }
+
+    private void addShares(ServiceModel key, int applied) {
+        VersionShares shares = VersionShares.count(mEngines.values(), key);
+        List<AgedShares> all = mShares.computeIfAbsent(key, k -> new ArrayList<>());
+        if (all.isEmpty() || !all.get(all.size() - 1).shares().equals(shares)) {
+            all.add(new AgedShares(shares, minAge(applied)));
+        }
+    }
+
+    /** Returns how long ago a number of changes had been made, at least. */
+    private Duration minAge(int applied) {
+        List<Integer> beats =
+                mEngines.keySet().stream()
+                        .filter(id -> mLastRemovals.getOrDefault(id, -1) < applied)
+                        .map(id -> writesFrom(id, applied))
+                        .sorted()
+                        .toList();
+        if (beats.isEmpty()) {
+            return Duration.ZERO;
+        }
+        int count = beats.get((int) (beats.size() * LATE_SHARE));
+        return mHeartbeat.multipliedBy(Math.max(0, count - 1));
+    }
+
+    private int writesFrom(String id, int index) {
+        List<Integer> writes = mWrites.getOrDefault(id, List.of());
+        int at = Collections.binarySearch(writes, index);
+        return writes.size() - (at < 0 ? -at - 1 : at);
+    }
+}
