Versions: registry of all histories, fed with the store's entries

Counts the entries as the store holds them, so that all nodes count alike. Derives nothing while the last answer of the store is older than the adoption delay, as others may have adopted newer shares by then, nor after a listing that may hide changes.

--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
@@ -0,0 +1,272 @@
+package org.fescuehollow.versions;
+
+import static java.util.stream.Collectors.toMap;
+import static java.util.stream.Collectors.toSet;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.fescuehollow.catalog.Engine;
+
+/**
+ * The software versions of all services, as this node reads them from the store.
+ *
+ * <p>Counts the entries as the store holds them, not as engines or other nodes report them, so that
+ * all nodes count alike. Changes have to be passed one by one in the order of the store.
+ *
+ * <p>Failure patterns: a node that can't reach the store goes on beginning streams by old shares,
+ * and one that listed the entries anew has missed what changed before. Neither derives versions
+ * until it knows again what the other nodes have in force.
+ *
+ * <p>Times are monotonic, in nanoseconds. Not safe for concurrent use.
+ */
+public final class VersionRegistry {
+    /** A stream may be resumed by its client after its own time is over. */
+    private static final Duration MIN_STREAM_LIFE = Duration.ofSeconds(15);
+
+    private static final int MAX_HISTORIES = 1_024;
+
+    private final Duration mAdoptionDelay;
+    private final Map<String, Engine> mEntries = new HashMap<>();
+    private final Map<ServiceModel, VersionHistory> mHistories = new HashMap<>();
+    private Set<Served> mUsable = Set.of();
+    private boolean mListed;
+    private long mListedNanos;
+    private long mLastRead;
+    private long mKnownFrom;
+
+    /** A version of a service that an engine in use has. */
+    private record Served(ServiceModel key, String version) {}
+
+    /**
+     * Creates a registry that knows no engines.
+     *
+     * @param adoptionDelay the time within which every node that reaches the store reads a change,
+     *     with a margin
+     */
+    public VersionRegistry(Duration adoptionDelay) {
+        mAdoptionDelay = adoptionDelay;
+    }
+
+    /**
+     * Handles a complete listing of the entries that can be read.
+     *
+     * @param entries the engines
+     * @param now the current time
+     */
+    public void onListed(Collection<Engine> entries, long now) {
+        Map<String, Engine> listed =
+                entries.stream().collect(toMap(Engine::id, Function.identity(), (a, b) -> b));
+        if (!mListed || isStale(now) || !servesAlike(listed)) {
+            mKnownFrom = now;
+            mHistories.values().forEach(h -> h.onGap(now));
+        }
+        mListed = true;
+        mListedNanos = now;
+        Set<ServiceModel> keys = new HashSet<>();
+        mEntries.values().forEach(e -> keys.addAll(ServiceModel.of(e)));
+        mEntries.clear();
+        mEntries.putAll(listed);
+        mEntries.values().forEach(e -> keys.addAll(ServiceModel.of(e)));
+        keys.forEach(k -> record(k, now));
+        onStoreRead(now);
+    }
+
+    private boolean servesAlike(Map<String, Engine> listed) {
+        return serving(listed).equals(serving(mEntries));
+    }
+
+    private static Map<String, Serving> serving(Map<String, Engine> engines) {
+        return engines.entrySet().stream()
+                .collect(toMap(Map.Entry::getKey, e -> Serving.of(e.getValue())));
+    }
+
+    /**
+     * Handles an entry that was written.
+     *
+     * @param engine the engine as the entry describes it
+     * @param now the current time
+     */
+    public void onEntry(Engine engine, long now) {
+        replace(Optional.ofNullable(mEntries.put(engine.id(), engine)), Optional.of(engine), now);
+    }
+
+    /**
+     * Handles an entry that was removed, or that names no engine.
+     *
+     * @param id the engine's id
+     * @param now the current time
+     */
+    public void onRemoved(String id, long now) {
+        replace(Optional.ofNullable(mEntries.remove(id)), Optional.empty(), now);
+    }
+
+    private void replace(Optional<Engine> before, Optional<Engine> after, long now) {
+        if (Serving.isSame(before, after)) {
+            return;
+        }
+        Set<ServiceModel> keys = new HashSet<>();
+        before.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
+        after.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
+        keys.forEach(k -> record(k, now));
+    }
+
+    private void record(ServiceModel key, long now) {
+        VersionShares shares = VersionShares.count(mEntries.values(), key);
+        if (shares.isEmpty() && !mHistories.containsKey(key)) {
+            return;
+        }
+        history(key, now).onRead(shares, now);
+    }
+
+    private VersionHistory history(ServiceModel key, long now) {
+        if (!mHistories.containsKey(key) && mHistories.size() >= MAX_HISTORIES) {
+            forgetUnused(now);
+        }
+        return mHistories.computeIfAbsent(key, k -> new VersionHistory(mAdoptionDelay, mKnownFrom));
+    }
+
+    /** Forgets histories without engines; what they said is unknown from then on. */
+    private void forgetUnused(long now) {
+        Set<ServiceModel> served =
+                mEntries.values().stream()
+                        .flatMap(e -> ServiceModel.of(e).stream())
+                        .collect(toSet());
+        if (mHistories.keySet().retainAll(served)) {
+            mKnownFrom = now;
+        }
+    }
+
+    /**
+     * Adds what the store's history tells about the time before the last listing.
+     *
+     * @param replay the replayed history
+     * @param now the time at which the history was read
+     */
+    public void seed(VersionReplay.Result replay, long now) {
+        replay.shares().keySet().forEach(k -> history(k, now));
+        mHistories.forEach(
+                (key, history) ->
+                        history.seed(
+                                replay.shares().getOrDefault(key, List.of()),
+                                replay.covered(),
+                                mListedNanos,
+                                now));
+        mKnownFrom = Math.min(mKnownFrom, now - replay.covered().toNanos());
+    }
+
+    /**
+     * Handles an answer of the store; all changes before it have been passed.
+     *
+     * @param now the current time
+     */
+    public void onStoreRead(long now) {
+        mLastRead = now;
+    }
+
+    /**
+     * Replaces the engines in use.
+     *
+     * @param engines the engines to which this node may send requests; draining ones are ignored
+     */
+    public void setInUse(Collection<Engine> engines) {
+        mUsable =
+                engines.stream()
+                        .filter(e -> !e.draining())
+                        .flatMap(
+                                e ->
+                                        ServiceModel.of(e).stream()
+                                                .map(k -> new Served(k, e.softwareVersion())))
+                        .collect(toSet());
+    }
+
+    /**
+     * Returns whether other nodes may begin streams by shares that this node hasn't read.
+     *
+     * @param now the current time
+     * @return true if the last answer of the store is older than the adoption delay
+     */
+    public boolean isStale(long now) {
+        return !mListed || now - mLastRead > mAdoptionDelay.toNanos();
+    }
+
+    /**
+     * Chooses the version at which a new stream begins. To be called anew for each placement until
+     * the first event has been relayed.
+     *
+     * @param service the service
+     * @param model the base model
+     * @param id the id of the client attempt
+     * @param now the current time
+     * @return the version; empty if no engine in use serves, or if it isn't settled yet which
+     *     shares other nodes have in force, which takes an adoption delay at most
+     */
+    public Optional<String> pick(String service, String model, String id, long now) {
+        ServiceModel key = new ServiceModel(service, model);
+        return find(key).flatMap(h -> h.pick(id, v -> mUsable.contains(new Served(key, v)), now));
+    }
+
+    /**
+     * Works out at which version a stream began.
+     *
+     * @param service the service
+     * @param model the base model
+     * @param id the id of the client attempt that began it
+     * @param streamLife how long ago it began at most
+     * @param now the current time
+     * @return the version, or empty if it isn't certain
+     */
+    public Optional<String> derive(
+            String service, String model, String id, Duration streamLife, long now) {
+        return fresh(service, model, now).flatMap(h -> h.derive(id, window(streamLife), now));
+    }
+
+    /**
+     * Returns the version at which all streams that may be resumed began.
+     *
+     * @param service the service
+     * @param model the base model
+     * @param streamLife how long ago they began at most
+     * @param now the current time
+     * @return the version, or empty if there were several or it isn't certain
+     */
+    public Optional<String> single(String service, String model, Duration streamLife, long now) {
+        return fresh(service, model, now).flatMap(h -> h.single(window(streamLife), now));
+    }
+
+    /**
+     * Returns whether a node that resumes a stream may be unable to derive its version, so that it
+     * has to be told.
+     *
+     * @param service the service
+     * @param model the base model
+     * @param id the id of the client attempt that began it
+     * @param streamLife how long ago it began at most
+     * @param now the current time
+     * @return true if this node can't derive it, or chose it before the change was adopted
+     */
+    public boolean isAmbiguous(
+            String service, String model, String id, Duration streamLife, long now) {
+        Optional<String> derived = derive(service, model, id, streamLife, now);
+        return derived.isEmpty() || !derived.equals(pick(service, model, id, now));
+    }
+
+    private Optional<VersionHistory> fresh(String service, String model, long now) {
+        return isStale(now) ? Optional.empty() : find(new ServiceModel(service, model));
+    }
+
+    private Optional<VersionHistory> find(ServiceModel key) {
+        return Optional.ofNullable(mHistories.get(key));
+    }
+
+    private Duration window(Duration streamLife) {
+        Duration life = streamLife.compareTo(MIN_STREAM_LIFE) < 0 ? MIN_STREAM_LIFE : streamLife;
+        return life.plus(mAdoptionDelay);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fescuehollow/versions/VersionRegistryTest.java
@@ -0,0 +1,184 @@
+package org.fescuehollow.versions;
+
+import static org.assertj.core.api.BDDAssertions.then;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.fescuehollow.catalog.Engine;
+import org.junit.jupiter.api.Test;
+
+class VersionRegistryTest {
+    private static final Duration LIFE = Duration.ofSeconds(6);
+    private static final VersionShares BOTH = new VersionShares(Map.of("v1", 1, "v2", 1));
+    private static final String STAYS = idOf("v1");
+    private static final String MOVES = idOf("v2");
+
+    private final Map<String, Engine> mInUse = new HashMap<>();
+    private final VersionRegistry mRegistry = new VersionRegistry(Duration.ofMillis(1_500));
+
+    private static String idOf(String version) {
+        return IntStream.range(0, 100)
+                .mapToObj(i -> "id-" + i)
+                .filter(i -> BOTH.pick(i).orElseThrow().equals(version))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static Engine engine(String id, String version, boolean draining) {
+        return new Engine(
+                id, 1, "llm", version, "10.0.0.1", 80, "d", 4, draining, 0, Set.of("m"), Map.of());
+    }
+
+    private static long seconds(double s) {
+        return (long) (s * 1e9);
+    }
+
+    private void list(double at, Engine... engines) {
+        mRegistry.onListed(List.of(engines), seconds(at));
+        mInUse.clear();
+        List.of(engines).forEach(e -> mInUse.put(e.id(), e));
+        mRegistry.setInUse(mInUse.values());
+    }
+
+    private void write(double at, Engine engine) {
+        mRegistry.onEntry(engine, seconds(at));
+        mRegistry.onStoreRead(seconds(at));
+        mInUse.put(engine.id(), engine);
+        mRegistry.setInUse(mInUse.values());
+    }
+
+    private Optional<String> pick(String id, double at) {
+        return mRegistry.pick("llm", "m", id, seconds(at));
+    }
+
+    private Optional<String> derive(String id, double at) {
+        return mRegistry.derive("llm", "m", id, LIFE, seconds(at));
+    }
+
+    private void keepReading(double until) {
+        mRegistry.onStoreRead(seconds(until));
+    }
+
+    @Test
+    void derive_namesTheVersionThatAnotherNodePicked() {
+        list(0, engine("e1", "v1", false));
+        write(60, engine("e2", "v2", false));
+        then(pick(MOVES, 60)).contains("v1");
+        then(pick(MOVES, 61.5)).contains("v2");
+        then(derive(STAYS, 61.4)).contains("v1");
+        then(derive(MOVES, 61.4)).isEmpty();
+        then(mRegistry.isAmbiguous("llm", "m", MOVES, LIFE, seconds(61.4))).isTrue();
+        then(mRegistry.isAmbiguous("llm", "m", STAYS, LIFE, seconds(61.4))).isFalse();
+        then(mRegistry.single("llm", "m", LIFE, seconds(61.4))).isEmpty();
+    }
+
+    @Test
+    void derive_needsAFreshReadOfTheStore() {
+        list(0, engine("e1", "v1", false));
+        keepReading(60);
+        then(derive(STAYS, 61.5)).contains("v1");
+        then(mRegistry.single("llm", "m", LIFE, seconds(61.5))).contains("v1");
+        then(mRegistry.isStale(seconds(61.6))).isTrue();
+        then(derive(STAYS, 61.6)).isEmpty();
+        then(mRegistry.single("llm", "m", LIFE, seconds(61.6))).isEmpty();
+        then(mRegistry.isAmbiguous("llm", "m", STAYS, LIFE, seconds(61.6))).isTrue();
+    }
+
+    @Test
+    void derive_isEmptyAfterAListingThatMayHideChanges() {
+        list(0, engine("e1", "v1", false));
+        keepReading(60);
+        // THEN a listing shortly after, with the same engines, hides none
+        list(61, engine("e1", "v1", false));
+        then(derive(STAYS, 61)).contains("v1");
+        list(62, engine("e1", "v1", false), engine("e2", "v2", false));
+        then(derive(STAYS, 62)).isEmpty();
+        keepReading(80);
+        then(derive(STAYS, 80)).contains("v1");
+        list(90, engine("e1", "v1", false), engine("e2", "v2", false));
+        then(derive(STAYS, 90)).isEmpty();
+    }
+
+    @Test
+    void derive_ofAnUnknownServiceIsEmpty() {
+        list(0, engine("e1", "v1", false));
+        keepReading(60);
+        then(mRegistry.derive("other", "m", STAYS, LIFE, seconds(60))).isEmpty();
+        then(mRegistry.derive("llm", "n", STAYS, LIFE, seconds(60))).isEmpty();
+        then(mRegistry.pick("llm", "n", STAYS, seconds(60))).isEmpty();
+        then(mRegistry.derive("llm", "", STAYS, LIFE, seconds(60))).contains("v1");
+    }
+
+    /** Guards against streams that wait for engines that are gone until shares are adopted. */
+    @Test
+    void pick_usesTheNewVersionOnceNoEngineOfTheOldOneIsInUse() {
+        list(0, engine("e1", "v1", false));
+        write(60, engine("e2", "v2", false));
+        write(60.5, engine("e1", "v1", true));
+        then(pick(STAYS, 60.5)).contains("v2");
+        then(mRegistry.isAmbiguous("llm", "m", STAYS, LIFE, seconds(60.5))).isTrue();
+    }
+
+    @Test
+    void entry_ofAnEngineThatReturnsAtAnotherVersionChangesTheShares() {
+        list(0, engine("e1", "v1", false));
+        write(60, engine("e1", "v2", false));
+        then(derive(STAYS, 60)).isEmpty();
+        then(pick(STAYS, 62)).contains("v2");
+    }
+
+    @Test
+    void entry_thatNamesNoEngineAnyMoreCountsAsRemoved() {
+        list(0, engine("e1", "v1", false), engine("e2", "v2", false));
+        mRegistry.onRemoved("e2", seconds(60));
+        mRegistry.onStoreRead(seconds(61.5));
+        then(pick(MOVES, 61.5)).contains("v1");
+        then(derive(MOVES, 61.5)).isEmpty();
+    }
+
+    @Test
+    void single_countsAVersionThatHasLeft() {
+        list(0, engine("e1", "v1", false), engine("e2", "v2", false));
+        mRegistry.onRemoved("e1", seconds(60));
+        keepReading(70);
+        then(mRegistry.single("llm", "m", LIFE, seconds(70))).isEmpty();
+        keepReading(107);
+        then(mRegistry.single("llm", "m", LIFE, seconds(107))).contains("v2");
+    }
+
+    /** Guards against a stream that is resumed at another version after all nodes were killed. */
+    @Test
+    void derive_afterAStartCountsVersionsThatHaveJustLeft() {
+        list(100, engine("e2", "v2", false));
+        then(derive(STAYS, 100)).isEmpty();
+        List<VersionReplay.Event> events =
+                IntStream.range(0, 32)
+                        .mapToObj(
+                                i ->
+                                        i == 20
+                                                ? removal("e1")
+                                                : i < 20 && i % 2 == 0
+                                                        ? written("e1", "v1")
+                                                        : written("e2", "v2"))
+                        .toList();
+        mRegistry.seed(
+                VersionReplay.replay(List.of(), events, 9, Duration.ofMillis(1_200)),
+                seconds(100.1));
+        then(derive(MOVES, 100.1)).contains("v2");
+        then(derive(STAYS, 100.1)).isEmpty();
+        then(pick(STAYS, 100.1)).contains("v2");
+    }
+
+    private static VersionReplay.Event removal(String id) {
+        return new VersionReplay.Event(id, 0, Optional.empty(), true);
+    }
+
+    private static VersionReplay.Event written(String id, String version) {
+        return new VersionReplay.Event(id, 1, Optional.of(engine(id, version, false)), false);
+    }
+}
