--- a/core/src/main/java/org/fescuehollow/versions/Serving.java
+++ b/core/src/main/java/org/fescuehollow/versions/Serving.java
@@ -1,28 +1,20 @@
 package org.fescuehollow.versions;
 
-import java.util.Optional;
-import java.util.Set;
 import org.fescuehollow.catalog.Engine;
 
-/**
- * What of an engine's entry decides which streams begin there; heartbeats don't change it.
- *
- * <p>Immutable and safe for use by any thread.
- *
- * @param startedMillis the Unix time of the engine's start
- * @param service its service
- * @param version its software version
- * @param draining whether it accepts no new requests
- * @param models its base models
- */
-record Serving(
-        long startedMillis, String service, String version, boolean draining, Set<String> models) {
-    static Serving of(Engine e) {
-        return new Serving(
-                e.startedMillis(), e.service(), e.softwareVersion(), e.draining(), e.models());
-    }
+/** Tells changes of an engine's entry that concern new streams from its heartbeats. Stateless. */
+final class Serving {
+    private Serving() {}
 
-    static boolean isSame(Optional<Engine> a, Optional<Engine> b) {
-        return a.map(Serving::of).equals(b.map(Serving::of));
+    /** Returns whether two entries of an id stand for the same; null stands for no engine. */
+    static boolean isSame(Engine a, Engine b) {
+        if (a == null || b == null) {
+            return a == b;
+        }
+        return a.startedMillis() == b.startedMillis()
+                && a.draining() == b.draining()
+                && a.service().equals(b.service())
+                && a.softwareVersion().equals(b.softwareVersion())
+                && a.models().equals(b.models());
     }
 }
--- a/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
@@ -79,12 +79,8 @@
     }
 
     private boolean servesAlike(Map<String, Engine> listed) {
-        return serving(listed).equals(serving(mEntries));
-    }
-
-    private static Map<String, Serving> serving(Map<String, Engine> engines) {
-        return engines.entrySet().stream()
-                .collect(toMap(Map.Entry::getKey, e -> Serving.of(e.getValue())));
+        return listed.keySet().equals(mEntries.keySet())
+                && listed.values().stream().allMatch(e -> Serving.isSame(e, mEntries.get(e.id())));
     }
 
     /**
@@ -108,7 +104,7 @@
     }
 
     private void replace(Optional<Engine> before, Optional<Engine> after, long now) {
-        if (Serving.isSame(before, after)) {
+        if (Serving.isSame(before.orElse(null), after.orElse(null))) {
             return;
         }
         Set<ServiceModel> keys = new HashSet<>();
--- a/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -124,7 +124,7 @@
         Optional<Engine> before = Optional.ofNullable(mEngines.remove(event.id()));
         event.engine().ifPresent(e -> mEngines.put(event.id(), e));
         Set<ServiceModel> keys = new HashSet<>();
-        if (!Serving.isSame(before, event.engine())) {
+        if (!Serving.isSame(before.orElse(null), event.engine().orElse(null))) {
             before.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
             event.engine().ifPresent(e -> keys.addAll(ServiceModel.of(e)));
         }
--- /dev/null
+++ b/core/src/test/java/org/fescuehollow/versions/VersionReplayTest.java
@@ -0,0 +1,147 @@
+package org.fescuehollow.versions;
+
+import static org.assertj.core.api.BDDAssertions.then;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.fescuehollow.catalog.Engine;
+import org.fescuehollow.versions.VersionReplay.Entry;
+import org.fescuehollow.versions.VersionReplay.Event;
+import org.junit.jupiter.api.Test;
+
+class VersionReplayTest {
+    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+    private static final ServiceModel KEY = new ServiceModel("llm", "m");
+    private static final long AFTER = 100;
+
+    /** Created before and after the revision from which changes are replayed. */
+    private static final long EARLIER = 50;
+
+    private static final long LATER = 150;
+
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final List<Event> mEvents = new ArrayList<>();
+
+    private static Engine engine(String id, String version, boolean draining) {
+        return new Engine(
+                id, 1, "llm", version, "10.0.0.1", 80, "d", 4, draining, 0, Set.of("m"), Map.of());
+    }
+
+    private void write(String id, long created, String version) {
+        mEvents.add(new Event(id, created, Optional.of(engine(id, version, false)), false));
+    }
+
+    private void drain(String id, long created, String version) {
+        mEvents.add(new Event(id, created, Optional.of(engine(id, version, true)), false));
+    }
+
+    private void remove(String id) {
+        mEvents.add(new Event(id, 0, Optional.empty(), true));
+    }
+
+    private VersionReplay.Result replay() {
+        return VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT);
+    }
+
+    private List<Map<String, Integer>> shares() {
+        return replay().shares().getOrDefault(KEY, List.of()).stream()
+                .map(s -> s.shares().engines())
+                .toList();
+    }
+
+    @Test
+    void engine_createdLaterJoinsWithItsFirstWrite() {
+        write("e1", EARLIER, "v1");
+        write("e2", LATER, "v2");
+        write("e1", EARLIER, "v1");
+        then(shares()).containsExactly(Map.of("v1", 1), Map.of("v1", 1, "v2", 1));
+    }
+
+    @Test
+    void engine_thatDrainsOrLeavesNoLongerCounts() {
+        write("e1", EARLIER, "v1");
+        write("e2", EARLIER, "v1");
+        write("e3", EARLIER, "v2");
+        drain("e1", EARLIER, "v1");
+        remove("e2");
+        then(shares())
+                .containsExactly(
+                        Map.of("v1", 2, "v2", 1), Map.of("v1", 1, "v2", 1), Map.of("v2", 1));
+    }
+
+    /** Guards against a version that left before anything else is known of it. */
+    @Test
+    void removal_withoutAWriteMakesWhatWasBeforeUnknown() {
+        IntStream.range(0, 5).forEach(i -> write("e1", EARLIER, "v1"));
+        remove("e2");
+        then(replay().covered()).isZero();
+        IntStream.range(0, 5).forEach(i -> write("e1", EARLIER, "v1"));
+        then(shares()).containsExactly(Map.of("v1", 1));
+        then(replay().covered()).isEqualTo(HEARTBEAT.multipliedBy(4));
+    }
+
+    @Test
+    void engine_thereFromTheStartIsUnknownUntilItIsWritten() {
+        write("e1", EARLIER, "v1");
+        write("e1", EARLIER, "v1");
+        write("e2", EARLIER, "v2");
+        write("e1", EARLIER, "v1");
+        write("e2", EARLIER, "v2");
+        then(shares()).containsExactly(Map.of("v1", 1, "v2", 1));
+        then(replay().covered()).isZero();
+    }
+
+    @Test
+    void engine_thatWroteNothingKeepsItsEntry() {
+        mEntries.add(new Entry("e1", EARLIER, Optional.of(engine("e1", "v1", false))));
+        mEntries.add(new Entry("e2", EARLIER, Optional.empty()));
+        mEntries.add(new Entry("e3", LATER, Optional.of(engine("e3", "v3", false))));
+        write("e4", EARLIER, "v2");
+        then(shares()).containsExactly(Map.of("v1", 1, "v2", 1));
+    }
+
+    @Test
+    void engine_thatReturnsAtAnotherVersionChangesTheShares() {
+        write("e1", EARLIER, "v1");
+        write("e1", EARLIER, "v2");
+        remove("e1");
+        write("e1", LATER, "v3");
+        then(shares()).containsExactly(Map.of("v1", 1), Map.of("v2", 1), Map.of(), Map.of("v3", 1));
+    }
+
+    @Test
+    void entry_thatNamesNoEngineAnyMoreCountsAsRemoved() {
+        write("e1", EARLIER, "v1");
+        write("e2", EARLIER, "v2");
+        mEvents.add(new Event("e2", EARLIER, Optional.empty(), false));
+        then(shares()).containsExactly(Map.of("v1", 1, "v2", 1), Map.of("v1", 1));
+    }
+
+    @Test
+    void age_isCountedInHeartbeatsOfEnginesThatStay() {
+        IntStream.range(0, 10)
+                .forEach(
+                        i -> {
+                            write("e1", EARLIER, "v1");
+                            if (i == 4) {
+                                write("e2", LATER, "v2");
+                            } else if (i == 6) {
+                                remove("e2");
+                            }
+                        });
+        List<AgedShares> all = replay().shares().get(KEY);
+        then(replay().covered()).isEqualTo(HEARTBEAT.multipliedBy(8));
+        then(all.stream().map(s -> s.minAge().toSeconds())).containsExactly(8L, 4L, 2L);
+    }
+
+    @Test
+    void replay_withoutChangesCoversNothing() {
+        then(replay().covered()).isZero();
+        then(replay().shares()).isEmpty();
+    }
+}
