--- /dev/null
+++ b/core/src/main/java/org/fescuehollow/versions/Serving.java
@@ -0,0 +1,20 @@
+package org.fescuehollow.versions;
+
+import org.fescuehollow.catalog.Engine;
+
+/** Tells changes of an engine's entry that concern new streams from its heartbeats. Stateless. */
+final class Serving {
+    private Serving() {}
+
+    /** Returns whether two entries of an id stand for the same; null stands for no engine. */
+    static boolean isSame(Engine a, Engine b) {
+        if (a == null || b == null) {
+            return a == b;
+        }
+        return a.startedMillis() == b.startedMillis()
+                && a.draining() == b.draining()
+                && a.service().equals(b.service())
+                && a.softwareVersion().equals(b.softwareVersion())
+                && a.models().equals(b.models());
+    }
+}
--- a/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
+++ b/core/src/test/java/org/fescuehollow/dispatch/EngineLoadTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.fescuehollow.catalog.AdapterKey;
@@ -15,7 +16,8 @@
 class EngineLoadTest {
     private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
     private static final Engine ENGINE =
-            new Engine("e1", 1, "llm", "10.0.0.1", 80, "d", 4, false, 0, Set.of("m"), Map.of());
+            new Engine(
+                    "e1", 1, "llm", "v1", "10.0.0.1", 80, "d", 4, false, 0, Set.of("m"), Map.of());
     private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EngineLoad mLoad = new EngineLoad(ENGINE);
@@ -33,7 +35,8 @@
                 0,
                 SECOND_NANOS,
                 5 * SECOND_NANOS,
-                false);
+                false,
+                Optional.empty());
     }
 
     private static EngineLoad.Work work(int running) {
