Exchange: nodes tell and ask a few others at which version a stream began

A node that resumes a stream needs the software version that began it, also when the node that began it was stopped or killed.

Nodes that leave are neither told nor asked.

--- a/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
+++ b/core/src/main/java/org/fescuehollow/exchange/PeerTable.java
@@ -244,6 +244,16 @@
                 .orElse(false);
     }
 
+    /**
+     * Returns whether a node has announced that it is leaving.
+     *
+     * @param name the name of the node
+     * @return true until it has started again
+     */
+    public boolean isLeaving(String name) {
+        return Optional.ofNullable(mPeers.get(name)).map(PeerState::leaving).orElse(false);
+    }
+
     /**
      * Returns when this node last discovered an unknown node. While it still discovers nodes, ranks
      * may change.
--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -30,6 +30,7 @@
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.responses.HeadDefect;
 import org.fescuehollow.suspects.CrashTraits;
+import org.fescuehollow.versions.StreamOrigins;
 
 /**
  * The gateway process on an entry VM.
@@ -53,6 +54,9 @@
     /** Shorter than the idle timeout of servers. */
     private static final int CONTROL_KEEP_ALIVE_SECONDS = 4;
 
+    /** Streams of a minute, those of which other nodes told included. */
+    private static final int MAX_STREAM_ORIGINS = 16_384;
+
     private final NodeContext mContext;
     private final Kernel mKernel;
 
@@ -92,11 +96,12 @@
         ResidencyTable residency = new ResidencyTable();
         Dispatcher dispatcher = new Dispatcher(settings.domain(), residency);
         CrashTraits crashTraits = new CrashTraits();
+        StreamOrigins origins = new StreamOrigins(MAX_STREAM_ORIGINS);
         mKernel =
                 Kernel.of(
                         new CatalogService(mContext),
                         new OrderService(mContext, dispatcher, residency),
-                        new ExchangeService(mContext, dispatcher, residency, crashTraits),
+                        new ExchangeService(mContext, dispatcher, residency, crashTraits, origins),
                         new FrontendService(mContext, dispatcher, residency, crashTraits),
                         new ReadinessService(mContext),
                         new MetricsService(mContext));
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -27,6 +27,7 @@
 import org.fescuehollow.residency.Holding;
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.suspects.CrashTraits;
+import org.fescuehollow.versions.StreamOrigins;
 import org.fescuehollow.wire.ExchangeProto.EngineHolding;
 import org.fescuehollow.wire.ExchangeProto.EngineWork;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
@@ -54,9 +55,7 @@
     private final ResidencyTable mResidency;
     private final PeerTable mPeers;
     private final GossipSchedule mSchedule;
-    private final SuspicionExchange mSuspicions;
-    private final RateExchange mRates;
-    private final LeaseExchange mLeases;
+    private final TopicExchanges mTopics;
     private final MessageSender mSender;
     private final long mIncarnation = System.currentTimeMillis();
     private final LivePeers mLivePeers;
@@ -79,12 +78,14 @@
      * @param dispatcher the dispatcher, which receives the work of other nodes
      * @param residency the table that records the holdings of other nodes
      * @param crashTraits the evidence for traits of requests that crash engines
+     * @param origins the software versions at which streams began
      */
     public ExchangeService(
             NodeContext context,
             Dispatcher dispatcher,
             ResidencyTable residency,
-            CrashTraits crashTraits) {
+            CrashTraits crashTraits,
+            StreamOrigins origins) {
         mContext = context;
         mDispatcher = dispatcher;
         mResidency = residency;
@@ -94,10 +95,15 @@
         mSeeds = s.seeds();
         mSchedule = new GossipSchedule(s.node());
         mPeerMentions = new PeerMentions(mPeers, mSchedule);
-        mSuspicions = new SuspicionExchange(context, crashTraits, this::sendChange);
-        mRates = new RateExchange(context, dispatcher.rates(), this::sendChange);
         mSender = new MessageSender(context, mIncarnation);
-        mLeases = new LeaseExchange(context, mIncarnation, () -> mSeeds, mSender::sendContent);
+        mTopics =
+                new TopicExchanges(
+                        new SuspicionExchange(context, crashTraits, this::sendChange),
+                        new RateExchange(context, dispatcher.rates(), this::sendChange),
+                        new LeaseExchange(
+                                context, mIncarnation, () -> mSeeds, mSender::sendContent),
+                        new StreamOriginExchange(
+                                context, origins, mLivePeers::remaining, mSender::sendContent));
     }
 
     @Override
@@ -111,15 +117,7 @@
         mCatalog = kernel.find(CatalogService.NAME, CatalogService.class);
         mMessageHandler =
                 new StateMessageHandler(
-                        mContext,
-                        mPeers,
-                        mDispatcher,
-                        mResidency,
-                        mCatalog,
-                        mOrders,
-                        mSuspicions,
-                        mRates,
-                        mLeases);
+                        mContext, mPeers, mDispatcher, mResidency, mCatalog, mOrders, mTopics);
         mWorkEncoder = new WorkEncoder(mDispatcher, mResidency, mCatalog, mPeers);
         mCatalog.onEngineLeaving(this::sendEngineLeaving);
         mPeerMentions.onStart(mContext.clock().now());
@@ -230,8 +228,8 @@
                             .map(e -> encodeHolding(e.getKey(), e.getValue(), now))
                             .toList();
             NodeNews.Builder changes = NodeNews.newBuilder();
-            mSuspicions.addTo(changes, now);
-            mRates.addTo(changes, now);
+            mTopics.suspicions().addTo(changes, now);
+            mTopics.rates().addTo(changes, now);
             mChanges = changes.build();
             mMentioned = mPeerMentions.choose(now);
         }
@@ -306,7 +304,7 @@
      * @return the exchange
      */
     public LeaseExchange leases() {
-        return mLeases;
+        return mTopics.leases();
     }
 
     /**
@@ -315,7 +313,7 @@
      * @return the exchange
      */
     public RateExchange rates() {
-        return mRates;
+        return mTopics.rates();
     }
 
     /**
@@ -324,7 +322,16 @@
      * @return the exchange
      */
     public SuspicionExchange suspicions() {
-        return mSuspicions;
+        return mTopics.suspicions();
+    }
+
+    /**
+     * Returns the exchange of the software versions at which streams began.
+     *
+     * @return the exchange
+     */
+    public OriginLookup origins() {
+        return mTopics.origins();
     }
 
     /**
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/LivePeers.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/LivePeers.java
@@ -45,6 +45,11 @@
         return mPeers.peers().stream().filter(p -> mNames.contains(p.name())).toList();
     }
 
+    /** Returns the live peers that aren't leaving. */
+    List<Peer> remaining() {
+        return peers().stream().filter(p -> !mPeers.isLeaving(p.name())).toList();
+    }
+
     /** Returns the names of the live peers. */
     Set<String> names() {
         return Set.copyOf(mNames);
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -33,9 +33,7 @@
     private final ResidencyTable mResidency;
     private final CatalogService mCatalog;
     private final OrderService mOrders;
-    private final SuspicionExchange mSuspicions;
-    private final RateExchange mRates;
-    private final LeaseExchange mLeases;
+    private final TopicExchanges mTopics;
     private final Map<String, Set<String>> mEnginesByHolder = new HashMap<>();
 
     StateMessageHandler(
@@ -45,18 +43,14 @@
             ResidencyTable residency,
             CatalogService catalog,
             OrderService orders,
-            SuspicionExchange suspicions,
-            RateExchange rates,
-            LeaseExchange leases) {
+            TopicExchanges topics) {
         mContext = context;
         mPeers = peers;
         mDispatcher = dispatcher;
         mResidency = residency;
         mCatalog = catalog;
         mOrders = orders;
-        mSuspicions = suspicions;
-        mRates = rates;
-        mLeases = leases;
+        mTopics = topics;
     }
 
     /**
@@ -67,7 +61,8 @@
      *     otherwise only the holder of an engine knows all work on it
      */
     void apply(NodeNews message, boolean sendsWorkToAll) {
-        mLeases.onMessage(message, mOrders);
+        mTopics.leases().onMessage(message, mOrders);
+        mTopics.origins().onMessage(message);
         long now = mContext.clock().now();
         String node = message.getNode();
         Peer peer = new Peer(node, message.getDomain(), message.getIp());
@@ -94,7 +89,7 @@
         applyWork(message, now);
         applyHoldings(message, sendsWorkToAll, now);
         if (message.getLeaving()) {
-            mLeases.onLeaving(node, message.getIncarnation());
+            mTopics.leases().onLeaving(node, message.getIncarnation());
             Optional.ofNullable(mEnginesByHolder.remove(node)).stream()
                     .flatMap(Set::stream)
                     .forEach(e -> mOrders.onRivalReleased(e));
@@ -105,8 +100,8 @@
                 message.getSuspicionsList().stream()
                         .map(s -> StateMessageCodec.suspicion(s, now))
                         .toList();
-        mSuspicions.onReceived(suspicions);
-        mRates.onReceived(message.getRatesList(), mCatalog);
+        mTopics.suspicions().onReceived(suspicions);
+        mTopics.rates().onReceived(message.getRatesList(), mCatalog);
         message.getWantsList()
                 .forEach(
                         w ->
