--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/FreePorts.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/FreePorts.java
@@ -6,7 +6,7 @@
 import java.net.ServerSocket;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** Finds free ports. Stateless. */
+/** Finds ports that are free on all loopback addresses. */
 final class FreePorts {
     private static final System.Logger LOG = System.getLogger(FreePorts.class.getName());
 
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -234,6 +234,11 @@
         return mListenPort;
     }
 
+    /** Returns the port for messages between nodes. */
+    public int exchangePort() {
+        return mExchangePort;
+    }
+
     private String settings(int i) {
         String ip = "127.0.0." + (i + 1);
         return new JsonObject()
