--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -197,7 +197,7 @@
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
         mContext.onSentToEngine(this);
-        mLog.logSent(mRoute, mDispatchRequest, engine.id(), mRuns, now);
+        mLog.logSent(mRoute, mDispatchRequest, engine, mRuns, now);
         attempt.start();
         return true;
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.stream.Collectors;
+import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
 import org.fescuehollow.dispatch.PromptSegment;
@@ -62,7 +63,7 @@
                 QueueTimeout.remainingMillis(request, now));
     }
 
-    void logSent(Route route, DispatchRequest request, String engine, int runs, long now) {
+    void logSent(Route route, DispatchRequest request, Engine engine, int runs, long now) {
         mLog.event(
                 "sent",
                 "id",
@@ -70,7 +71,9 @@
                 "route",
                 route.name(),
                 "engine",
-                engine,
+                engine.id(),
+                "software",
+                engine.softwareVersion(),
                 "adapter",
                 request.adapter(),
                 "prompt",
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -244,6 +244,8 @@
                             engine.domain(),
                             "started",
                             engine.startedMillis(),
+                            "software",
+                            engine.softwareVersion(),
                             "draining",
                             engine.draining());
         }
