--- a/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/node/NodeSettings.java
@@ -31,6 +31,8 @@
  * @param retrySlack the retries allowed in a window in addition to the ratio, over all nodes
  * @param retryWindowSeconds the window to which both retry limits apply, in seconds
  * @param graceSeconds the time from the stop signal until the process is killed, in seconds
+ * @param heartbeatMillis the time between two writes of an engine's entry, in milliseconds
+ * @param storeHistorySeconds how long the store keeps changes, in seconds
  * @param memoryMegabytes the memory limit of this process, in megabytes
  */
 public record NodeSettings(
@@ -49,6 +51,8 @@
         double retrySlack,
         double retryWindowSeconds,
         double graceSeconds,
+        long heartbeatMillis,
+        double storeHistorySeconds,
         int memoryMegabytes) {
     /** The environment variable with the path of the settings file. */
     public static final String SETTINGS_FILE_VARIABLE = "FESCUEHOLLOW_SETTINGS";
@@ -117,6 +121,8 @@
                 bounds.getNumber("retrySlack", 10).doubleValue(),
                 bounds.getNumber("retryWindowSeconds", 10).doubleValue(),
                 bounds.getNumber("graceSeconds", 8).doubleValue(),
+                json.getNumber("heartbeatMillis", 1_200).longValue(),
+                json.getNumber("storeHistorySeconds", 20).doubleValue(),
                 json.getNumber("memoryMegabytes", 256).intValue());
     }
 
