Store: a fresh process reads which engines served before it started

A process that has just started could not tell at which software version a stream began before, so it would have to refuse all streams that clients resume for the life of a stream, after all processes were killed at once for the whole deployment.

An entry is decoded once for both tables.

The stand-in of the store names when keys were created, and answers 410 for changes that it was told to drop; without that it keeps all, as before.

--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -23,6 +23,7 @@
 import org.fescuehollow.platform.StoreClient;
 import org.fescuehollow.platform.StoreItem;
 import org.fescuehollow.platform.StoreKeys;
+import org.fescuehollow.versions.VersionRegistry;
 
 /**
  * Keeps the configuration, engines and adapter versions that are published in the store.
@@ -41,7 +42,14 @@
      */
     private static final double ENGINE_READ_PAUSE_DRAIN_SHARE = 0.5;
 
+    /**
+     * Time for a read of the engines as a share of the settling time: a call without an answer is
+     * superseded after half of it.
+     */
+    private static final double ENGINE_READ_SETTLING_SHARE = 1.0 / 3;
+
     private final NodeContext mContext;
+    private final VersionRegistry mVersions;
     private final EngineTable mEngines = new EngineTable(new EngineListener());
     private final Map<AdapterKey, Long> mAdapterVersions = new HashMap<>();
     private Optional<Configuration> mConfiguration = Optional.empty();
@@ -49,6 +57,7 @@
     private Consumer<Engine> mLeavingListener = e -> {};
     private PrefixWatch mOperatorWatch;
     private PrefixWatch mServerWatch;
+    private VersionFeed mVersionFeed;
     private long mExpiryTimer = -1;
 
     /**
@@ -58,6 +67,7 @@
      */
     public CatalogService(NodeContext context) {
         mContext = context;
+        mVersions = new VersionRegistry(engineReadPause().plus(engineAnswerTime()));
     }
 
     @Override
@@ -109,6 +119,8 @@
                         new WatchScheduler(settling, now),
                         engineReadPause(),
                         this::onServerChange);
+        mVersionFeed = new VersionFeed(mContext, store, mVersions);
+        mServerWatch.onRead(mVersionFeed::onRead);
         mContext.vertx().runOnContext(v -> mOperatorWatch.start());
         mContext.vertx().runOnContext(v -> mServerWatch.start());
     }
@@ -118,6 +130,12 @@
         return Duration.ofMillis((long) millis);
     }
 
+    /** Returns the time after the pause within which the store answers or is known to be lost. */
+    private Duration engineAnswerTime() {
+        double millis = mContext.settings().settlingMillis() * ENGINE_READ_SETTLING_SHARE;
+        return Duration.ofMillis((long) millis);
+    }
+
     /** Returns the time within which a change is read while the store is reachable. */
     private Duration engineReadTime() {
         return engineReadPause().plusMillis(mContext.settings().settlingMillis());
@@ -180,34 +198,40 @@
 
     private void onServerChange(PrefixReader.Change<StoreItem> change) {
         long now = mContext.clock().now();
+        List<EngineEntry> entries = change.items().stream().map(this::decode).toList();
         if (change.complete()) {
-            mEngines.onListed(
-                    change.items().stream().map(i -> engineId(i.key())).collect(toSet()), now);
+            mEngines.onListed(entries.stream().map(EngineEntry::id).collect(toSet()), now);
+            mVersionFeed.onListed(entries, mServerWatch.revision(), mServerWatch.era(), now);
+        } else {
+            entries.forEach(e -> mVersionFeed.onChanged(e, now));
         }
-        change.items().forEach(i -> applyServerItem(i, change.returned(), now));
+        entries.forEach(e -> applyServerEntry(e, change.returned(), now));
         scheduleExpiry();
         mChangeListener.run();
     }
 
-    private void applyServerItem(StoreItem item, boolean mayBeOld, long now) {
-        String id = engineId(item.key());
-        if (item.removed()) {
-            boolean stable = mServerWatch.isReachableFor(now, EngineTable.RETURN_GRACE);
-            mEngines.onRemoved(id, stable, now);
-            return;
-        }
+    private EngineEntry decode(StoreItem item) {
         try {
-            item.value()
-                    .map(v -> EngineCodec.decodeEntry(id, v))
-                    .ifPresentOrElse(
-                            e -> mEngines.onEntry(e, mayBeOld, now),
-                            () -> mEngines.onUnreadable(id));
+            String id = item.key().substring(StoreKeys.ENGINES.length());
+            return new EngineEntry(item, item.value().map(v -> EngineCodec.decodeEntry(id, v)));
         } catch (RuntimeException | StackOverflowError e) {
-            mEngines.onUnreadable(id);
             onUnreadable(item, e);
+            return new EngineEntry(item, Optional.empty());
         }
     }
 
+    private void applyServerEntry(EngineEntry entry, boolean mayBeOld, long now) {
+        if (entry.item().removed()) {
+            boolean stable = mServerWatch.isReachableFor(now, EngineTable.RETURN_GRACE);
+            mEngines.onRemoved(entry.id(), stable, now);
+            return;
+        }
+        entry.engine()
+                .ifPresentOrElse(
+                        e -> mEngines.onEntry(e, mayBeOld, now),
+                        () -> mEngines.onUnreadable(entry.id()));
+    }
+
     private void scheduleExpiry() {
         mEngines.expiryDelay(mContext.clock().now()).ifPresent(this::scheduleExpiry);
     }
@@ -306,10 +330,6 @@
         mContext.log().event("unreadable_entry", "key", item.key(), "cause", e.getMessage());
     }
 
-    private static String engineId(String key) {
-        return key.substring(StoreKeys.ENGINES.length());
-    }
-
     /**
      * Returns the current configuration.
      *
@@ -338,6 +358,15 @@
         return mEngines.find(id);
     }
 
+    /**
+     * Returns the software versions of the engines.
+     *
+     * @return the registry, which this service feeds
+     */
+    public VersionRegistry versions() {
+        return mVersions;
+    }
+
     /**
      * Returns the newest announced version of an adapter.
      *
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/PrefixWatch.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.fescuehollow.catalog.PrefixReader;
 import org.fescuehollow.catalog.WatchScheduler;
 import org.fescuehollow.gateway.node.NodeContext;
@@ -34,6 +35,7 @@
     private boolean mLossReported;
     private boolean mStopped;
     private long mCallTimer = -1;
+    private LongConsumer mReadListener = nanos -> {};
 
     PrefixWatch(
             NodeContext context,
@@ -50,6 +52,16 @@
         mListener = listener;
     }
 
+    /**
+     * Registers a listener that learns until when all changes have been passed on.
+     *
+     * @param listener receives a monotonic time in nanoseconds after each answer of a watch, and
+     *     once all entries were listed
+     */
+    void onRead(LongConsumer listener) {
+        mReadListener = listener;
+    }
+
     void start() {
         scheduleCall();
     }
@@ -97,12 +109,13 @@
                                 call.waitMillis(),
                                 call.timeoutMillis())
                         : mStore.readRange(mPrefix, read.afterKey(), call.timeoutMillis());
-        answer.onSuccess(p -> runGuarded(() -> onAnswer(call, read, p)))
+        answer.onSuccess(p -> runGuarded(() -> onAnswer(call, read, p, now)))
                 .onFailure(e -> onFailure(call, read, e));
         scheduleCall();
     }
 
-    private void onAnswer(WatchScheduler.Call call, PrefixReader.Call read, StorePage page) {
+    private void onAnswer(
+            WatchScheduler.Call call, PrefixReader.Call read, StorePage page, long sentNanos) {
         if (!mScheduler.isOpen(call.id())) {
             return;
         }
@@ -113,6 +126,26 @@
         }
         acceptAnswer(call, change.isPresent() ? mPause : Duration.ZERO);
         change.ifPresent(mListener);
+        if (mReader.isWatching()) {
+            mReadListener.accept(answerNanos(call, read, sentNanos));
+        }
+    }
+
+    /** Returns when the store answered, at the earliest if the answer took longer than it waits. */
+    private long answerNanos(WatchScheduler.Call call, PrefixReader.Call read, long sentNanos) {
+        long waitMillis = read.watch() ? call.waitMillis() : 0;
+        long latest = sentNanos + Duration.ofMillis(waitMillis).toNanos();
+        return Math.min(mContext.clock().now(), latest);
+    }
+
+    /** Returns the revision from which changes are followed. */
+    long revision() {
+        return mReader.revision();
+    }
+
+    /** Returns the store's era, if it names one. */
+    OptionalLong era() {
+        return mReader.era();
     }
 
     private static PrefixReader.Answer<StoreItem> answer(StorePage page) {
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StoreStandIn.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/StoreStandIn.java
@@ -19,7 +19,10 @@
     private final HttpServer mServer;
     private final SortedMap<String, JsonObject> mItems = new ConcurrentSkipListMap<>();
     private final List<JsonObject> mEvents = new ArrayList<>();
+    private final List<String> mCalls = new ArrayList<>();
     private long mRevision = 5;
+    private long mDroppedRevision;
+    private int mMaxEvents = Integer.MAX_VALUE;
     private int mEra = 1;
 
     /** The contents of the store at some time. */
@@ -35,21 +38,51 @@
         return "127.0.0.1:" + mServer.actualPort();
     }
 
+    /** Keeps only so many changes from now on. */
+    public synchronized void keepChanges(int count) {
+        mMaxEvents = count;
+        dropOldChanges();
+    }
+
+    private void addChange(JsonObject change) {
+        mEvents.add(change);
+        dropOldChanges();
+    }
+
+    private void dropOldChanges() {
+        while (mEvents.size() > mMaxEvents) {
+            mDroppedRevision = mEvents.remove(0).getLong("rev");
+        }
+    }
+
     public synchronized void put(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        long revision = ++mRevision;
+        long created = mItems.containsKey(key) ? mItems.get(key).getLong("created") : revision;
         JsonObject item =
                 new JsonObject()
                         .put("key", key)
                         .put("value", Base64.getEncoder().encodeToString(bytes))
-                        .put("rev", ++mRevision);
+                        .put("rev", revision)
+                        .put("created", created)
+                        .put("lease", 0);
         mItems.put(key, item);
-        mEvents.add(item);
+        addChange(item);
     }
 
     public synchronized void remove(String key) {
         mItems.remove(key);
-        mEvents.add(
-                new JsonObject().put("key", key).put("rev", ++mRevision).put("tombstone", true));
+        addChange(new JsonObject().put("key", key).put("rev", ++mRevision).put("tombstone", true));
+    }
+
+    /** Returns the revision of the newest change. */
+    public synchronized long revision() {
+        return mRevision;
+    }
+
+    /** Returns the URIs of all calls in order. */
+    public synchronized List<String> calls() {
+        return List.copyOf(mCalls);
     }
 
     public synchronized Copy copy() {
@@ -63,6 +96,7 @@
         mEvents.clear();
         mEvents.addAll(copy.events());
         mRevision = copy.revision();
+        mDroppedRevision = Math.min(mDroppedRevision, mRevision);
         mEra++;
     }
 
@@ -70,7 +104,16 @@
         return Integer.toString(mEra);
     }
 
+    private synchronized boolean isKept(long after) {
+        return after >= mDroppedRevision;
+    }
+
+    private synchronized void addCall(String uri) {
+        mCalls.add(uri);
+    }
+
     private void onRequest(HttpServerRequest request) {
+        addCall(request.uri());
         String prefix = request.getParam("prefix");
         if (request.path().endsWith("kv-range")) {
             respond(request, range(prefix));
@@ -107,6 +150,10 @@
     }
 
     private void watch(HttpServerRequest request, String prefix, long after, long waitMillis) {
+        if (!isKept(after)) {
+            request.response().setStatusCode(410).putHeader("Store-Era", era()).end();
+            return;
+        }
         JsonObject changes = changes(prefix, after);
         if (waitMillis <= 0 || !changes.getJsonArray("events").isEmpty()) {
             respond(request, changes);
