Versions: a replay begins with the engines' first writes

Waiting until each engine has written once, and counting the heartbeats of the slowest quarter, lost 3 s of the 20 s that the store keeps. In a replay of a kill of all nodes, none of the streams that came back within the first second had a known window. An engine that is ready at its first write was so before; only one that was draining or removed by then leaves what was before unknown.

--- a/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -1,13 +1,12 @@
 package org.fescuehollow.versions;
 
-import static java.util.stream.Collectors.groupingBy;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,15 +18,15 @@
  * keeps, for a process that has just started.
  *
  * <p>An entry that was created after the first of these changes joins with its first write; the
- * others were there from the start, but what they said is known only from their next write on. So
- * the result begins with the change by which each of those has been written or removed once. Its
- * age follows from the heartbeats since, of which each engine writes one per interval.
+ * others were there from the start, as their first write says. One that was draining or removed by
+ * then may have been ready before, or at any version, so the result begins only after that change.
+ * Its age follows from the heartbeats since, of which each engine writes one per interval.
  *
  * <p>Not safe for concurrent use.
  */
 public final class VersionReplay {
-    /** Of the engines that were there throughout, this share may have missed heartbeats. */
-    private static final double LATE_SHARE = 0.25;
+    /** Of the engines that were there throughout, at most a quarter wrote out of turn. */
+    private static final double BEATS_QUANTILE = 0.75;
 
     private final List<Event> mEvents;
     private final Duration mHeartbeat;
@@ -91,17 +90,19 @@
     }
 
     private Result run(Collection<Entry> entries, long afterRevision) {
-        Map<String, List<Event>> byId = mEvents.stream().collect(groupingBy(Event::id));
+        Map<String, Event> firsts = new LinkedHashMap<>();
+        mEvents.forEach(e -> firsts.putIfAbsent(e.id(), e));
         Set<String> unknown = new HashSet<>();
-        byId.forEach(
-                (id, events) -> {
-                    Event first = events.get(0);
-                    if (first.removed() || first.created() <= afterRevision) {
-                        unknown.add(id);
-                    }
-                });
+        for (Event first : firsts.values()) {
+            boolean ready = first.engine().filter(e -> !e.draining()).isPresent();
+            if (first.removed() || first.created() <= afterRevision && !ready) {
+                unknown.add(first.id());
+            } else if (first.created() <= afterRevision) {
+                mEngines.put(first.id(), first.engine().orElseThrow());
+            }
+        }
         entries.stream()
-                .filter(e -> !byId.containsKey(e.id()) && e.created() <= afterRevision)
+                .filter(e -> !firsts.containsKey(e.id()) && e.created() <= afterRevision)
                 .forEach(e -> e.engine().ifPresent(engine -> mEngines.put(e.id(), engine)));
         int next = 0;
         while (!unknown.isEmpty()) {
@@ -156,7 +157,7 @@
         if (beats.isEmpty()) {
             return Duration.ZERO;
         }
-        int count = beats.get((int) (beats.size() * LATE_SHARE));
+        int count = beats.get((int) ((beats.size() - 1) * BEATS_QUANTILE));
         return mHeartbeat.multipliedBy(Math.max(0, count - 1));
     }
 
