Versions: nodes that can't read the store, and processes that have just started

Now a stream whose version differs between the old and the new shares waits; - a node that only others can tell of changes began streams by shares that a fresh process doesn't count any more. Nodes tell a fingerprint of their entries; one with the same entries needn't read the store itself, and one with others than those in touch begins no streams; - shares that had ended before a process started count only for streams that can be so old, as no node that is live or in touch goes on by them; - a minimum life of streams refused all of them after a kill of all nodes, as the store's history doesn't reach that far.

--- a/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.fescuehollow.catalog.Engine;
 
 /**
@@ -22,14 +23,13 @@
  *
  * <p>Failure patterns: a node that can't reach the store goes on beginning streams by old shares,
  * and one that listed the entries anew has missed what changed before. Neither derives versions
- * until it knows again what the other nodes have in force.
+ * until it knows again what the other nodes have in force. While other nodes confirm the entries
+ * that it has, a node needn't reach the store itself; once they have others, it begins no streams.
+ * If none reaches the store, nothing changes, and all go on.
  *
  * <p>Times are monotonic, in nanoseconds. Not safe for concurrent use.
  */
 public final class VersionRegistry {
-    /** A stream may be resumed by its client after its own time is over. */
-    private static final Duration MIN_STREAM_LIFE = Duration.ofSeconds(15);
-
     private static final int MAX_HISTORIES = 1_024;
 
     private final Duration mAdoptionDelay;
@@ -40,6 +40,9 @@
     private long mListedNanos;
     private long mLastRead;
     private long mKnownFrom;
+    private long mSettledFrom;
+    private long mFingerprint;
+    private long mPeersDifferNanos = Long.MIN_VALUE;
 
     /** A version of a service that an engine in use has. */
     private record Served(ServiceModel key, String version) {}
@@ -67,15 +70,17 @@
             mKnownFrom = now;
             mHistories.values().forEach(h -> h.onGap(now));
         }
+        onStoreRead(now);
         mListed = true;
         mListedNanos = now;
         Set<ServiceModel> keys = new HashSet<>();
         mEntries.values().forEach(e -> keys.addAll(ServiceModel.of(e)));
         mEntries.clear();
         mEntries.putAll(listed);
+        mFingerprint = 0;
+        mEntries.values().forEach(e -> mFingerprint ^= Serving.fingerprint(e));
         mEntries.values().forEach(e -> keys.addAll(ServiceModel.of(e)));
         keys.forEach(k -> record(k, now));
-        onStoreRead(now);
     }
 
     private boolean servesAlike(Map<String, Engine> listed) {
@@ -107,6 +112,8 @@
         if (Serving.isSame(before.orElse(null), after.orElse(null))) {
             return;
         }
+        before.ifPresent(e -> mFingerprint ^= Serving.fingerprint(e));
+        after.ifPresent(e -> mFingerprint ^= Serving.fingerprint(e));
         Set<ServiceModel> keys = new HashSet<>();
         before.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
         after.ifPresent(e -> keys.addAll(ServiceModel.of(e)));
@@ -163,7 +170,56 @@
      * @param now the current time
      */
     public void onStoreRead(long now) {
-        mLastRead = now;
+        if (isStale(now)) {
+            mSettledFrom = now + mAdoptionDelay.toNanos();
+        }
+        mLastRead = Math.max(mLastRead, now);
+    }
+
+    /**
+     * Returns a hash of the entries, to be told to other nodes while {@link #isStale} is false.
+     *
+     * @return the same on all nodes that read the same entries
+     */
+    public long fingerprint() {
+        return mFingerprint;
+    }
+
+    /**
+     * Returns when the entries were last read or confirmed.
+     *
+     * @return the time
+     */
+    public long lastReadNanos() {
+        return mLastRead;
+    }
+
+    /**
+     * Handles the word of another node about its entries.
+     *
+     * @param fingerprint the other node's {@link #fingerprint}
+     * @param readNanos when it read or confirmed them, at the earliest
+     */
+    public void onPeerRead(long fingerprint, long readNanos) {
+        if (!mListed || readNanos <= mLastRead) {
+            return;
+        }
+        if (fingerprint == mFingerprint) {
+            mLastRead = readNanos;
+        } else {
+            mPeersDifferNanos = Math.max(mPeersDifferNanos, readNanos);
+        }
+    }
+
+    /**
+     * Returns whether other nodes have adopted shares that this node can't read, so that it begins
+     * no streams.
+     *
+     * @param now the current time
+     * @return true until it reaches the store, or other nodes confirm its entries
+     */
+    public boolean isOutdated(long now) {
+        return mPeersDifferNanos > mLastRead && now - mLastRead > 2 * mAdoptionDelay.toNanos();
     }
 
     /**
@@ -200,12 +256,19 @@
      * @param model the base model
      * @param id the id of the client attempt
      * @param now the current time
-     * @return the version; empty if no engine in use serves, or if it isn't settled yet which
-     *     shares other nodes have in force, which takes an adoption delay at most
+     * @return the version; empty if no engine in use serves, if this node {@link #isOutdated}, or
+     *     if it isn't settled yet which shares other nodes have in force, which takes an adoption
+     *     delay at most
      */
     public Optional<String> pick(String service, String model, String id, long now) {
+        if (isOutdated(now)) {
+            return Optional.empty();
+        }
         ServiceModel key = new ServiceModel(service, model);
-        return find(key).flatMap(h -> h.pick(id, v -> mUsable.contains(new Served(key, v)), now));
+        Predicate<String> usable = v -> mUsable.contains(new Served(key, v));
+        return find(key)
+                .filter(h -> now >= mSettledFrom || h.isSettled(id, usable, now))
+                .flatMap(h -> h.pick(id, usable, now));
     }
 
     /**
@@ -249,8 +312,10 @@
      */
     public boolean isAmbiguous(
             String service, String model, String id, Duration streamLife, long now) {
-        Optional<String> derived = derive(service, model, id, streamLife, now);
-        return derived.isEmpty() || !derived.equals(pick(service, model, id, now));
+        Duration window = window(streamLife);
+        return fresh(service, model, now).filter(h -> !h.isAmbiguous(id, window, now)).isEmpty()
+                || !derive(service, model, id, streamLife, now)
+                        .equals(pick(service, model, id, now));
     }
 
     private Optional<VersionHistory> fresh(String service, String model, long now) {
@@ -262,7 +327,6 @@
     }
 
     private Duration window(Duration streamLife) {
-        Duration life = streamLife.compareTo(MIN_STREAM_LIFE) < 0 ? MIN_STREAM_LIFE : streamLife;
-        return life.plus(mAdoptionDelay);
+        return streamLife.plus(mAdoptionDelay);
     }
 }
--- a/core/src/test/java/org/fescuehollow/versions/VersionHistoryTest.java
+++ b/core/src/test/java/org/fescuehollow/versions/VersionHistoryTest.java
@@ -149,6 +149,21 @@
         then(mHistory.derive(MOVES, WINDOW, seconds(100.2))).isEmpty();
     }
 
+    /** Guards against older shares that replace those of the listing. */
+    @Test
+    void seed_withoutAgePrecedesTheListing() {
+        mHistory.onRead(ONLY_V2, seconds(100));
+        mHistory.seed(
+                List.of(
+                        new AgedShares(BOTH, Duration.ofSeconds(18)),
+                        new AgedShares(ONLY_V1, Duration.ZERO),
+                        new AgedShares(ONLY_V2, Duration.ZERO)),
+                Duration.ofSeconds(18),
+                seconds(100),
+                seconds(100.2));
+        then(mHistory.pick(STAYS, seconds(101.5))).contains("v2");
+    }
+
     @Test
     void seed_withoutAgeAdoptsNothing() {
         mHistory.onRead(ONLY_V2, seconds(100));
