--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -29,6 +29,7 @@
     private final RequestHead mHead;
     private final RequestLog mLog;
     private final RequestGuard mGuard;
+    private final RequestTimers mTimers;
     private final RequestTraits mTraits;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
@@ -40,8 +41,6 @@
     private int mRuns;
     private String mWaitReason = "";
     private String mLoadingEngine = "";
-    private long mDeadlineTimer = -1;
-    private long mWaitTimer = -1;
 
     ProxiedRequest(
             RequestContext context,
@@ -61,6 +60,7 @@
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
+        mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
 
     DispatchRequest dispatchRequest() {
@@ -114,17 +114,13 @@
     private void startGuarded() {
         mClientRequest.response().closeHandler(mGuard.handler(v -> onClientDisconnected()));
         mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
-        mDeadlineTimer = setTimer(remainingMillis(), this::onDeadline);
+        mTimers.startDeadline(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
         mLog.logTakeUp(mRoute, mHead);
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
         placeOrWait();
     }
 
-    private long setTimer(long millis, Runnable action) {
-        return mContext.node().vertx().setTimer(Math.max(1, millis), t -> mGuard.run(action));
-    }
-
     private void placeOrWait() {
         if (mDone || place()) {
             return;
@@ -135,21 +131,12 @@
             return;
         }
         mContext.waitQueue().add(this);
-        if (mWaitTimer < 0) {
-            mWaitTimer =
-                    setTimer(
-                            QueueTimeout.remainingMillis(mDispatchRequest, now),
-                            this::onWaitTimeout);
-        }
+        mTimers.startWait(QueueTimeout.remainingMillis(mDispatchRequest, now), this::onWaitTimeout);
         mLog.logWaiting(mDispatchRequest, mWaitReason, mLoadingEngine, now);
     }
 
     /** Sends the request if an engine can take it now; returns whether it was sent or has ended. */
-    boolean tryPlace() {
-        return mGuard.test(this::place);
-    }
-
-    private boolean place() {
+    boolean place() {
         if (mDone || mAttempt.isPresent()) {
             return true;
         }
@@ -177,10 +164,6 @@
 
     /** Abandons the request if it waits at an engine that it would crash. */
     void abandonIfBlocked() {
-        mGuard.run(this::abandonIfBlockedGuarded);
-    }
-
-    private void abandonIfBlockedGuarded() {
         Optional<Attempt> attempt = mAttempt.filter(a -> !a.isAnswered());
         if (attempt.isPresent() && mTraits.isBlocked()) {
             attempt.get().cancel();
@@ -191,12 +174,10 @@
     }
 
     private boolean sendTo(Engine engine, long now) {
-        mContext.dispatcher().onSent(engine.id(), mDispatchRequest, now);
         mWaitReason = "";
-        mContext.publishWork(mDispatchRequest, engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
-        mContext.onSentToEngine(this);
+        mContext.onSentToEngine(this, engine, now);
         mLog.logSent(mRoute, mDispatchRequest, engine, mRuns, now);
         attempt.start();
         return true;
@@ -253,8 +234,7 @@
      */
     private void onStreamInterrupted() {
         if (mResponse.hasStarted()) {
-            mContext.node().vertx().cancelTimer(mWaitTimer);
-            mWaitTimer = -1;
+            mTimers.endWait();
             mDispatchRequest = mDispatchRequest.resumedAt(mContext.now());
         }
     }
@@ -315,9 +295,7 @@
     private void onAttemptEnded(Engine engine, String result) {
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
-        mContext.onLeftEngine(this);
-        mContext.dispatcher().onEnded(engine.id(), mDispatchRequest);
-        mContext.publishWork(mDispatchRequest, engine);
+        mContext.onLeftEngine(this, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
             mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
@@ -382,15 +360,10 @@
     private void finish(String outcome, String detail) {
         mDone = true;
         mContext.onRequestEnded(this);
-        mContext.node().vertx().cancelTimer(mDeadlineTimer);
-        mContext.node().vertx().cancelTimer(mWaitTimer);
+        mTimers.cancelAll();
         Optional<Attempt> attempt = mAttempt;
         mAttempt = Optional.empty();
-        attempt.ifPresent(
-                a -> {
-                    mContext.dispatcher().onEnded(a.engine().id(), mDispatchRequest);
-                    mContext.publishWork(mDispatchRequest, a.engine());
-                });
+        attempt.ifPresent(a -> mContext.onLeftEngine(this, a.engine()));
         mContext.node().metrics().countRequest(mDispatchRequest.service(), outcome);
         mLog.logEnded(mRoute, mDispatchRequest, outcome, detail, mResponse, mContext.now());
         mContext.dispatchWaiting();
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -97,7 +97,7 @@
         mDispatch =
                 new CoalescedTask(
                         task -> node.vertx().runOnContext(v -> task.run()),
-                        () -> mWaitQueue.removeAccepted(ProxiedRequest::tryPlace, now()));
+                        () -> mWaitQueue.removeAccepted(RequestContext::tryPlace, now()));
     }
 
     NodeContext node() {
@@ -125,17 +125,21 @@
     }
 
     /** Records that a request is at an engine, until {@link #onLeftEngine}. */
-    void onSentToEngine(ProxiedRequest request) {
+    void onSentToEngine(ProxiedRequest request, Engine engine, long now) {
+        mDispatcher.onSent(engine.id(), request.dispatchRequest(), now);
+        publishWork(request.dispatchRequest(), engine);
         mSent.add(request);
     }
 
-    void onLeftEngine(ProxiedRequest request) {
+    void onLeftEngine(ProxiedRequest request, Engine engine) {
         mSent.remove(request);
+        mDispatcher.onEnded(engine.id(), request.dispatchRequest());
+        publishWork(request.dispatchRequest(), engine);
     }
 
     /** Abandons the requests at engines that have become blocked. */
     void abandonBlocked() {
-        List.copyOf(mSent).forEach(ProxiedRequest::abandonIfBlocked);
+        List.copyOf(mSent).forEach(r -> r.guard().run(r::abandonIfBlocked));
         dispatchWaiting();
     }
 
@@ -233,6 +237,10 @@
         mNode.log().event("engine_pause", "engine", engine.id(), "ms", time.toMillis());
     }
 
+    private static boolean tryPlace(ProxiedRequest request) {
+        return request.guard().test(request::place);
+    }
+
     /** Tries to place all waiting requests soon, in queue order. */
     void dispatchWaiting() {
         if (mWaitQueue.size() > 0) {
@@ -248,7 +256,7 @@
         if (mWaitQueue.size() > 0) {
             mWaitQueue.removeAccepted(
                     r -> loaded.contains(r.dispatchRequest().adapter()),
-                    ProxiedRequest::tryPlace,
+                    RequestContext::tryPlace,
                     now());
         }
     }
