Fix: a stream was resumed at another software version than the one that began it

Cause: placement chose the next engine as for a new request; a version was no property of engines or requests.

A stream that may be resumed now begins at the version that all nodes would choose for it, evaluated at each placement until its first event was relayed, and then goes on only at the version of the engine that sent that event; a silent engine is left only for one of the same version. If no engine of the version is in use any more, the response is broken off at once.

--- a/core/src/main/java/org/fescuehollow/dispatch/Placement.java
+++ b/core/src/main/java/org/fescuehollow/dispatch/Placement.java
@@ -31,6 +31,8 @@
         NO_SERVER,
         /** Servers of the service are in use, but none of the software version it needs. */
         NO_SERVER_OF_VERSION,
+        /** It isn't settled yet which software versions the other nodes know to serve. */
+        VERSION_UNSETTLED,
         /** All available engines take no more requests of this node now. */
         ENGINES_LIMITED,
         /** No available engine has the adapter loaded. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -288,6 +288,7 @@
      */
     void onBytesRelayed() {
         markAnswered();
+        mProxiedRequest.version().onRelayed(mEngine);
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -96,9 +96,17 @@
         OrderService orders = kernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = kernel.find(ExchangeService.NAME, ExchangeService.class);
         CrashGuard crashGuard = new CrashGuard(mNode, catalog, mCrashTraits, exchange.suspicions());
+        StreamVersions versions = new StreamVersions(mNode, catalog.versions());
         mContext =
                 new RequestContext(
-                        mNode, catalog, mDispatcher, mResidency, orders, exchange, crashGuard);
+                        mNode,
+                        catalog,
+                        mDispatcher,
+                        mResidency,
+                        orders,
+                        exchange,
+                        crashGuard,
+                        versions);
         exchange.suspicions().onBlocked(mContext::abandonBlocked);
         catalog.onChange(this::onCatalogChanged);
         mNode.vertx().runOnContext(v -> onCatalogChanged());
@@ -145,6 +153,7 @@
                                 .flatMap(c -> c.findService(s))
                                 .flatMap(ServiceSpec::engineSpec));
         catalog.engines().forEach(mResidency::onStoreEntry);
+        catalog.versions().setInUse(catalog.engines());
         mContext.dispatchWaiting();
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -31,6 +31,7 @@
     private final RequestGuard mGuard;
     private final RequestTimers mTimers;
     private final RequestTraits mTraits;
+    private final StreamVersion mVersion;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
     private final EventStreamReader mEvents;
@@ -59,6 +60,7 @@
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
+        mVersion = new StreamVersion(context.streamVersions(), route);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
         mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
@@ -91,6 +93,10 @@
         return mDone;
     }
 
+    StreamVersion version() {
+        return mVersion;
+    }
+
     RequestTraits traits() {
         return mTraits;
     }
@@ -150,13 +156,18 @@
             return true;
         }
         long now = mContext.now();
-        Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
+        Placement placement =
+                mVersion.place(mContext.dispatcher(), mDispatchRequest, mExcludedEngines, now);
         if (placement instanceof Placement.Send send) {
             send.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
             return mContext.catalog().engine(send.engine()).map(e -> sendTo(e, now)).orElse(false);
         }
         Placement.Wait wait = (Placement.Wait) placement;
         mWaitReason = wait.reason().name();
+        if (wait.reason() == Placement.Reason.NO_SERVER_OF_VERSION && mVersion.isFixed()) {
+            fail(GatewayError.ANSWER_LOST);
+            return true;
+        }
         mLoadingEngine = wait.loadTarget().orElse("");
         wait.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
         return false;
@@ -276,7 +287,7 @@
         long now = mContext.now();
         DispatchRequest dispatchRequest =
                 mResponse.hasStarted() ? mDispatchRequest.resumedAt(now) : mDispatchRequest;
-        Placement placement = mContext.dispatcher().place(dispatchRequest, excluded, now);
+        Placement placement = mVersion.place(mContext.dispatcher(), dispatchRequest, excluded, now);
         if (placement instanceof Placement.Send send && !send.engine().equals(engine.id())) {
             return mContext.tryRetry(mDispatchRequest.service());
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -57,6 +57,7 @@
     private final OrderService mOrders;
     private final ExchangeService mExchange;
     private final CrashGuard mCrashGuard;
+    private final StreamVersions mStreamVersions;
     private final Set<ProxiedRequest> mSent = new LinkedHashSet<>();
     private final WaitQueue<ProxiedRequest> mWaitQueue =
             new WaitQueue<>(ProxiedRequest::dispatchRequest);
@@ -83,7 +84,8 @@
             ResidencyTable residency,
             OrderService orders,
             ExchangeService exchange,
-            CrashGuard crashGuard) {
+            CrashGuard crashGuard,
+            StreamVersions streamVersions) {
         mNode = node;
         mCatalog = catalog;
         mDispatcher = dispatcher;
@@ -91,6 +93,7 @@
         mOrders = orders;
         mExchange = exchange;
         mCrashGuard = crashGuard;
+        mStreamVersions = streamVersions;
         mInactivityDetector =
                 new EngineInactivityDetector(
                         Duration.ofMillis(SILENCE_CHECK_MILLIS), node.clock().now());
@@ -124,6 +127,10 @@
         return mCrashGuard;
     }
 
+    StreamVersions streamVersions() {
+        return mStreamVersions;
+    }
+
     /** Records that a request is at an engine, until {@link #onLeftEngine}. */
     void onSentToEngine(ProxiedRequest request, Engine engine, long now) {
         mDispatcher.onSent(engine.id(), request.dispatchRequest(), now);
