Fix: streams that clients took up went on at another software version

Cause: Resumes, which names the attempt that brought the first event, was not read; a take-up was placed as a new request.

A take-up now goes on only at the version that began its stream: as this VM recorded, as follows from the attempt's id by the versions that served, or as a few other VMs recorded. If it isn't known, or no engine has it any more, it is rejected at once as not run, without Retry-After. VMs tell each other versions that don't follow from the id. A request that waits for the answer of others may end like one that waits for an engine.

Evidence: 8 of 10 cases of TakenUpAtAnotherVersionTest failed on, all pass now.

--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -102,7 +102,7 @@
                         new CatalogService(mContext),
                         new OrderService(mContext, dispatcher, residency),
                         new ExchangeService(mContext, dispatcher, residency, crashTraits, origins),
-                        new FrontendService(mContext, dispatcher, residency, crashTraits),
+                        new FrontendService(mContext, dispatcher, residency, crashTraits, origins),
                         new ReadinessService(mContext),
                         new MetricsService(mContext));
     }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -288,7 +288,7 @@
      */
     void onBytesRelayed() {
         markAnswered();
-        mProxiedRequest.version().onRelayed(mEngine);
+        mProxiedRequest.version().onRelayed(mEngine, mProxiedRequest.dispatchRequest());
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -28,6 +28,7 @@
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.suspects.CrashTraits;
+import org.fescuehollow.versions.StreamOrigins;
 
 /** Accepts the requests of clients. Not thread-safe; used on the node's event loop. */
 public final class FrontendService implements Service {
@@ -59,6 +60,7 @@
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final CrashTraits mCrashTraits;
+    private final StreamOrigins mOrigins;
     private final Set<HttpConnection> mConnections = new HashSet<>();
     private final Set<HttpConnection> mBusyConnections = new HashSet<>();
     private RequestContext mContext;
@@ -73,16 +75,19 @@
      * @param dispatcher the dispatcher, which chooses engines
      * @param residency the table that records adapters that engines lack
      * @param crashTraits the evidence for traits of requests that crash engines
+     * @param origins the software versions at which streams began
      */
     public FrontendService(
             NodeContext node,
             Dispatcher dispatcher,
             ResidencyTable residency,
-            CrashTraits crashTraits) {
+            CrashTraits crashTraits,
+            StreamOrigins origins) {
         mNode = node;
         mDispatcher = dispatcher;
         mResidency = residency;
         mCrashTraits = crashTraits;
+        mOrigins = origins;
     }
 
     @Override
@@ -96,7 +101,8 @@
         OrderService orders = kernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = kernel.find(ExchangeService.NAME, ExchangeService.class);
         CrashGuard crashGuard = new CrashGuard(mNode, catalog, mCrashTraits, exchange.suspicions());
-        StreamVersions versions = new StreamVersions(mNode, catalog.versions());
+        StreamVersions versions =
+                new StreamVersions(mNode, catalog.versions(), mOrigins, exchange.origins());
         mContext =
                 new RequestContext(
                         mNode,
@@ -154,6 +160,7 @@
                                 .flatMap(ServiceSpec::engineSpec));
         catalog.engines().forEach(mResidency::onStoreEntry);
         catalog.versions().setInUse(catalog.engines());
+        mContext.tellAmbiguousVersions();
         mContext.dispatchWaiting();
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/GatewayError.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/GatewayError.java
@@ -14,6 +14,12 @@
     NOT_RUN(503, true, "not_run"),
     /** The request did not run, as similar ones crashed engines. */
     CRASHES_ENGINES(503, true, "crashes_engines"),
+    /**
+     * The stream can't be resumed, as no engine has the software version that began it any more.
+     */
+    VERSION_GONE(503, false, "version_gone"),
+    /** The stream can't be resumed, as it isn't known which software version began it. */
+    VERSION_UNKNOWN(503, false, "version_unknown"),
     /** The request may have run, and its response is lost. */
     ANSWER_LOST(502, false, "answer_lost"),
     /** The deadline has passed, and the request may still run. */
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -60,7 +60,7 @@
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
-        mVersion = new StreamVersion(context.streamVersions(), route);
+        mVersion = new StreamVersion(context.streamVersions(), route, head);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow());
         mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
@@ -124,7 +124,23 @@
         mContext.countRequest(mDispatchRequest.service());
         mLog.logTakeUp(mRoute, mHead);
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
-        placeOrWait();
+        mVersion.settle(mDispatchRequest).onComplete(mGuard.handler(v -> onVersionSettled()));
+    }
+
+    private void onVersionSettled() {
+        if (mVersion.isUnknown()) {
+            refuse(GatewayError.VERSION_UNKNOWN);
+        } else {
+            placeOrWait();
+        }
+    }
+
+    /** Ends a stream that must not go on at any engine. */
+    private void refuse(GatewayError error) {
+        if (!mDone) {
+            mVersion.logRefusal(mDispatchRequest, error);
+            fail(mMayHaveRun ? GatewayError.ANSWER_LOST : error);
+        }
     }
 
     private void placeOrWait() {
@@ -165,7 +181,7 @@
         Placement.Wait wait = (Placement.Wait) placement;
         mWaitReason = wait.reason().name();
         if (wait.reason() == Placement.Reason.NO_SERVER_OF_VERSION && mVersion.isFixed()) {
-            fail(GatewayError.ANSWER_LOST);
+            refuse(GatewayError.VERSION_GONE);
             return true;
         }
         mLoadingEngine = wait.loadTarget().orElse("");
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -131,6 +131,11 @@
         return mStreamVersions;
     }
 
+    /** Tells other nodes the software versions of open streams that they can't work out now. */
+    void tellAmbiguousVersions() {
+        mOpen.forEach(r -> r.version().tellIfAmbiguous(r.dispatchRequest()));
+    }
+
     /** Records that a request is at an engine, until {@link #onLeftEngine}. */
     void onSentToEngine(ProxiedRequest request, Engine engine, long now) {
         mDispatcher.onSent(engine.id(), request.dispatchRequest(), now);
@@ -211,6 +216,9 @@
      * elsewhere.
      */
     void checkSilentStreams() {
+        if (mStreamVersions.hasBecomeStale()) {
+            tellAmbiguousVersions();
+        }
         mInactivityDetector.pollInactive(now()).stream()
                 .flatMap(s -> Stream.ofNullable(mStreams.get(s)))
                 .toList()
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/StreamVersion.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/StreamVersion.java
@@ -1,5 +1,7 @@
 package org.fescuehollow.gateway.calls;
 
+import io.vertx.core.Future;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehollow.catalog.Engine;
@@ -8,6 +10,7 @@
 import org.fescuehollow.dispatch.DispatchRequest;
 import org.fescuehollow.dispatch.Dispatcher;
 import org.fescuehollow.dispatch.Placement;
+import org.fescuehollow.platform.RequestHead;
 
 /**
  * The software version of the engines that may run one request.
@@ -15,18 +18,44 @@
  * <p>A stream that may be resumed begins at the version that all nodes would choose for it, and
  * goes on only at the version that sent its first event. Other requests run at any version.
  *
- * <p>Invariant: the version doesn't change once an event was relayed. Not thread-safe; used on the
- * node's event loop.
+ * <p>Invariant: the version doesn't change once an event was relayed, or a resumed stream's version
+ * was found. Not thread-safe; used on the node's event loop.
  */
 final class StreamVersion {
     private final StreamVersions mVersions;
     private final boolean mRestricted;
+    private final boolean mTakenUp;
+    private final String mOrigin;
+    private final Duration mLife;
     private Optional<String> mVersion = Optional.empty();
     private boolean mRelayed;
+    private boolean mTold;
 
-    StreamVersion(StreamVersions versions, Route route) {
+    StreamVersion(StreamVersions versions, Route route, RequestHead head) {
         mVersions = versions;
         mRestricted = route.kind() == RouteKind.STREAM && route.isRetryable();
+        mTakenUp = mRestricted && !head.lastEventId().isEmpty();
+        mOrigin = mTakenUp ? head.resumes() : head.attemptId();
+        mLife = Duration.ofMillis(route.timeoutMillis());
+    }
+
+    /**
+     * Finds the version of a stream that is resumed, at other nodes if need be.
+     *
+     * @return completes soon, often at once, and never fails
+     */
+    Future<Void> settle(DispatchRequest request) {
+        if (mTakenUp) {
+            mVersion = mVersions.find(mOrigin, request, mLife);
+        }
+        return isUnknown()
+                ? mVersions.ask(mOrigin).onSuccess(v -> mVersion = v).mapEmpty()
+                : Future.succeededFuture();
+    }
+
+    /** Returns whether the stream is resumed and its version wasn't found. */
+    boolean isUnknown() {
+        return mTakenUp && mVersion.isEmpty();
     }
 
     /** Returns whether the version can't change any more. */
@@ -51,11 +80,31 @@
     }
 
     /** Handles events of an engine that go to the client. */
-    void onRelayed(Engine engine) {
+    void onRelayed(Engine engine, DispatchRequest request) {
         if (!mRestricted || mRelayed) {
             return;
         }
         mRelayed = true;
         mVersion = Optional.of(engine.softwareVersion());
+        if (!mOrigin.isEmpty()) {
+            mVersions.record(mOrigin, engine.softwareVersion());
+            tellIfAmbiguous(request);
+        }
+    }
+
+    /** Tells other nodes the version if they may be unable to work it out, unless that was done. */
+    void tellIfAmbiguous(DispatchRequest request) {
+        if (mRelayed
+                && !mTold
+                && !mOrigin.isEmpty()
+                && mVersions.isAmbiguous(mOrigin, request, mLife)) {
+            mTold = true;
+            mVersion.ifPresent(v -> mVersions.tell(mOrigin, v));
+        }
+    }
+
+    /** Logs that a stream does not go on. */
+    void logRefusal(DispatchRequest request, GatewayError error) {
+        mVersions.logRefusal(request.id(), mOrigin, error);
     }
 }
