--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -291,6 +291,7 @@
      */
     void onBytesRelayed() {
         markAnswered();
+        mProxiedRequest.version().onRelayed(mEngine, mProxiedRequest.dispatchRequest());
         mStream.ifPresent(EngineInactivityDetector.Stream::onEvent);
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/FrontendService.java
@@ -26,6 +26,7 @@
 import org.fescuehollow.platform.RequestHead;
 import org.fescuehollow.residency.ResidencyTable;
 import org.fescuehollow.suspects.CrashTraits;
+import org.fescuehollow.versions.StreamOrigins;
 
 /** Accepts the requests of clients. Not thread-safe; used on the node's event loop. */
 public final class FrontendService implements Service {
@@ -57,6 +58,7 @@
     private final Dispatcher mDispatcher;
     private final ResidencyTable mResidency;
     private final CrashTraits mCrashTraits;
+    private final StreamOrigins mOrigins;
     private RequestContext mContext;
     private HttpServer mServer;
     private long mDispatchTimer;
@@ -69,16 +71,19 @@
      * @param dispatcher the dispatcher, which chooses engines
      * @param residency the table that records adapters that engines lack
      * @param crashTraits the evidence for traits of requests that crash engines
+     * @param origins the software versions at which streams began
      */
     public FrontendService(
             NodeContext node,
             Dispatcher dispatcher,
             ResidencyTable residency,
-            CrashTraits crashTraits) {
+            CrashTraits crashTraits,
+            StreamOrigins origins) {
         mNode = node;
         mDispatcher = dispatcher;
         mResidency = residency;
         mCrashTraits = crashTraits;
+        mOrigins = origins;
     }
 
     @Override
@@ -92,9 +97,18 @@
         OrderService orders = kernel.find(OrderService.NAME, OrderService.class);
         ExchangeService exchange = kernel.find(ExchangeService.NAME, ExchangeService.class);
         CrashGuard crashGuard = new CrashGuard(mNode, catalog, mCrashTraits, exchange.suspicions());
+        StreamVersions versions =
+                new StreamVersions(mNode, catalog.versions(), mOrigins, exchange.origins());
         mContext =
                 new RequestContext(
-                        mNode, catalog, mDispatcher, mResidency, orders, exchange, crashGuard);
+                        mNode,
+                        catalog,
+                        mDispatcher,
+                        mResidency,
+                        orders,
+                        exchange,
+                        crashGuard,
+                        versions);
         exchange.suspicions().onBlocked(mContext::abandonBlocked);
         catalog.onChange(this::onCatalogChanged);
         mNode.vertx().runOnContext(v -> onCatalogChanged());
@@ -141,6 +155,8 @@
                                 .flatMap(c -> c.findService(s))
                                 .flatMap(ServiceSpec::engineSpec));
         catalog.engines().forEach(mResidency::onStoreEntry);
+        catalog.versions().setInUse(catalog.engines());
+        mContext.tellAmbiguousVersions();
         mContext.dispatchWaiting();
     }
 
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -29,8 +29,9 @@
     private final RequestHead mHead;
     private final RequestLog mLog;
     private final RequestGuard mGuard;
-    private final RequestTraits mTraits;
     private final RequestTimers mTimers;
+    private final RequestTraits mTraits;
+    private final StreamVersion mVersion;
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
     private final EventStreamReader mEvents;
@@ -59,6 +60,7 @@
         mLog = new RequestLog(context.node().log(), dispatchRequest.arrivalNanos());
         mEvents = context.newEventReader(route, head, dispatchRequest.service());
         mTraits = new RequestTraits(context.crashGuard(), request, dispatchRequest, body);
+        mVersion = new StreamVersion(context.streamVersions(), route, head);
         mGuard = new RequestGuard(context.node(), dispatchRequest.id(), e -> endNow("EXCEPTION"));
         mTimers = new RequestTimers(context.node().vertx(), mGuard);
     }
@@ -87,8 +89,8 @@
         return mEvents;
     }
 
-    boolean isDone() {
-        return mDone;
+    StreamVersion version() {
+        return mVersion;
     }
 
     RequestTraits traits() {
@@ -116,8 +118,25 @@
         mClientRequest.response().exceptionHandler(mGuard.handler(e -> onClientDisconnected()));
         mTimers.startDeadline(remainingMillis(), this::onDeadline);
         mContext.countRequest(mDispatchRequest.service());
+        mLog.logTakeUp(mRoute, mHead);
         mContext.dispatcher().onArrival(mDispatchRequest, mContext.now());
-        placeOrWait();
+        mVersion.settle(mDispatchRequest).onComplete(mGuard.handler(v -> onVersionSettled()));
+    }
+
+    private void onVersionSettled() {
+        if (mVersion.isUnknown()) {
+            refuse(GatewayError.VERSION_UNKNOWN);
+        } else {
+            placeOrWait();
+        }
+    }
+
+    /** Ends a stream that must not go on at any engine. */
+    private void refuse(GatewayError error) {
+        if (!mDone) {
+            mVersion.logRefusal(mDispatchRequest, error);
+            fail(mMayHaveRun ? GatewayError.ANSWER_LOST : error);
+        }
     }
 
     private void placeOrWait() {
@@ -135,11 +154,7 @@
     }
 
     /** Sends the request if an engine can take it now; returns whether it was sent or has ended. */
-    boolean tryPlace() {
-        return mGuard.test(this::place);
-    }
-
-    private boolean place() {
+    boolean place() {
         if (mDone || mAttempt.isPresent()) {
             return true;
         }
@@ -153,24 +168,24 @@
             return true;
         }
         long now = mContext.now();
-        Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
+        Placement placement =
+                mVersion.place(mContext.dispatcher(), mDispatchRequest, mExcludedEngines, now);
+        placement.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
         if (placement instanceof Placement.Send send) {
-            send.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
             return mContext.catalog().engine(send.engine()).map(e -> sendTo(e, now)).orElse(false);
         }
         Placement.Wait wait = (Placement.Wait) placement;
         mWaitReason = wait.reason().name();
+        if (wait.reason() == Placement.Reason.NO_SERVER_OF_VERSION && mVersion.isFixed()) {
+            refuse(GatewayError.VERSION_GONE);
+            return true;
+        }
         mLoadingEngine = wait.loadTarget().orElse("");
-        wait.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
         return false;
     }
 
     /** Abandons the request if it waits at an engine that it would crash. */
     void abandonIfBlocked() {
-        mGuard.run(this::abandonIfBlockedGuarded);
-    }
-
-    private void abandonIfBlockedGuarded() {
         Optional<Attempt> attempt = mAttempt.filter(a -> !a.isAnswered());
         if (attempt.isPresent() && mTraits.isBlocked()) {
             attempt.get().cancel();
@@ -181,13 +196,11 @@
     }
 
     private boolean sendTo(Engine engine, long now) {
-        mContext.dispatcher().onSent(engine.id(), mDispatchRequest, now);
         mWaitReason = "";
-        mContext.publishWork(mDispatchRequest, engine);
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
-        mContext.onSentToEngine(this);
-        mLog.logSent(mRoute, mDispatchRequest, engine.id(), mRuns, now);
+        mContext.onSentToEngine(this, engine, now);
+        mLog.logSent(mRoute, mDispatchRequest, engine, mRuns, now);
         attempt.start();
         return true;
     }
@@ -226,11 +239,8 @@
 
     /** Handles the end of an attempt that may have run and whose response is lost. */
     void onResponseLost(Engine engine, String cause) {
-        onAttemptEnded(engine, cause);
-        mMayHaveRun = true;
+        leaveEngine(engine, cause);
         if (tryTakeRetry()) {
-            mExcludedEngines.add(engine.id());
-            onStreamInterrupted();
             placeOrWait();
         } else {
             mWaitReason = "NO_RETRY";
@@ -238,17 +248,6 @@
         }
     }
 
-    /**
-     * Starts a new wait for an engine if the response was already started, as the time limit of the
-     * first wait may have passed.
-     */
-    private void onStreamInterrupted() {
-        if (mResponse.hasStarted()) {
-            mTimers.cancelWait();
-            mDispatchRequest = mDispatchRequest.resumedAt(mContext.now());
-        }
-    }
-
     /**
      * Takes a retry from the budget if the route, the remaining time and a planned stop allow one;
      * returns whether the request may be retried.
@@ -273,15 +272,19 @@
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
     void retryElsewhere(Engine engine, String cause) {
-        onAttemptRetried(engine, cause);
+        leaveEngine(engine, cause);
         placeOrWait();
     }
 
-    private void onAttemptRetried(Engine engine, String cause) {
+    private void leaveEngine(Engine engine, String cause) {
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         mExcludedEngines.add(engine.id());
-        onStreamInterrupted();
+        if (mResponse.hasStarted()) {
+            // The time limit of the first wait may have passed.
+            mTimers.cancelWait();
+        }
+        mDispatchRequest = nextRequest();
     }
 
     /**
@@ -298,7 +301,7 @@
         }
         Set<String> excluded = new HashSet<>(mExcludedEngines);
         excluded.add(engine.id());
-        Placement placement = mContext.dispatcher().place(next, excluded, now);
+        Placement placement = mVersion.place(mContext.dispatcher(), next, excluded, now);
         placement.loadTarget().ifPresent(e -> mContext.requestAdapter(next, e));
         Optional<Engine> target =
                 placement
@@ -307,7 +310,7 @@
                         .flatMap(mContext.catalog()::engine);
         if (target.isPresent() && mContext.tryRetry(mDispatchRequest.service())) {
             attemptCloser.run();
-            onAttemptRetried(engine, "silent");
+            leaveEngine(engine, "silent");
             sendTo(target.get(), now);
         }
     }
@@ -321,8 +324,7 @@
     private void onAttemptEnded(Engine engine, String result) {
         boolean answered = mAttempt.map(Attempt::isAnswered).orElse(false);
         mAttempt = Optional.empty();
-        mContext.onLeftEngine(this);
-        mContext.releaseEngine(mDispatchRequest, engine);
+        mContext.onLeftEngine(this, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
             mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
@@ -389,7 +391,7 @@
         mDone = true;
         mContext.onRequestEnded(this);
         mTimers.cancelAll();
-        mAttempt.ifPresent(a -> mContext.releaseEngine(mDispatchRequest, a.engine()));
+        mAttempt.ifPresent(a -> mContext.onLeftEngine(this, a.engine()));
         mAttempt = Optional.empty();
         mContext.node().metrics().countRequest(mDispatchRequest.service(), outcome);
         mLog.logEnded(mRoute, mDispatchRequest, outcome, detail, mResponse, mContext.now());
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -57,6 +57,7 @@
     private final OrderService mOrders;
     private final ExchangeService mExchange;
     private final CrashGuard mCrashGuard;
+    private final StreamVersions mStreamVersions;
     private final Set<ProxiedRequest> mSent = new LinkedHashSet<>();
     private final WaitQueue<ProxiedRequest> mWaitQueue =
             new WaitQueue<>(ProxiedRequest::dispatchRequest);
@@ -82,7 +83,8 @@
             ResidencyTable residency,
             OrderService orders,
             ExchangeService exchange,
-            CrashGuard crashGuard) {
+            CrashGuard crashGuard,
+            StreamVersions streamVersions) {
         mNode = node;
         mCatalog = catalog;
         mDispatcher = dispatcher;
@@ -90,13 +92,14 @@
         mOrders = orders;
         mExchange = exchange;
         mCrashGuard = crashGuard;
+        mStreamVersions = streamVersions;
         mInactivityDetector =
                 new EngineInactivityDetector(
                         Duration.ofMillis(SILENCE_CHECK_MILLIS), node.clock().now());
         mDispatch =
                 new CoalescedTask(
                         task -> node.vertx().runOnContext(v -> task.run()),
-                        () -> mWaitQueue.removeAccepted(ProxiedRequest::tryPlace, now()));
+                        () -> mWaitQueue.removeAccepted(RequestContext::tryPlace, now()));
     }
 
     NodeContext node() {
@@ -123,18 +126,31 @@
         return mCrashGuard;
     }
 
+    StreamVersions streamVersions() {
+        return mStreamVersions;
+    }
+
+    /** Tells other nodes the software versions of open streams that they can't work out now. */
+    void tellAmbiguousVersions() {
+        mOpen.forEach(r -> r.version().tellIfAmbiguous(r.dispatchRequest()));
+    }
+
     /** Records that a request is at an engine, until {@link #onLeftEngine}. */
-    void onSentToEngine(ProxiedRequest request) {
+    void onSentToEngine(ProxiedRequest request, Engine engine, long now) {
+        mDispatcher.onSent(engine.id(), request.dispatchRequest(), now);
+        publishWork(request.dispatchRequest(), engine);
         mSent.add(request);
     }
 
-    void onLeftEngine(ProxiedRequest request) {
+    void onLeftEngine(ProxiedRequest request, Engine engine) {
         mSent.remove(request);
+        mDispatcher.onEnded(engine.id(), request.dispatchRequest());
+        publishWork(request.dispatchRequest(), engine);
     }
 
     /** Abandons the requests at engines that have become blocked. */
     void abandonBlocked() {
-        List.copyOf(mSent).forEach(ProxiedRequest::abandonIfBlocked);
+        List.copyOf(mSent).forEach(r -> r.guard().run(r::abandonIfBlocked));
         dispatchWaiting();
     }
 
@@ -199,6 +215,9 @@
      * elsewhere.
      */
     void checkSilentStreams() {
+        if (mStreamVersions.hasBecomeStale()) {
+            tellAmbiguousVersions();
+        }
         mInactivityDetector.pollInactive(now()).stream()
                 .flatMap(s -> Stream.ofNullable(mStreams.get(s)))
                 .toList()
@@ -232,6 +251,10 @@
         mNode.log().event("engine_pause", "engine", engine.id(), "ms", time.toMillis());
     }
 
+    private static boolean tryPlace(ProxiedRequest request) {
+        return request.guard().test(request::place);
+    }
+
     /** Tries to place all waiting requests soon, in queue order. */
     void dispatchWaiting() {
         if (mWaitQueue.size() > 0) {
@@ -247,7 +270,7 @@
         if (mWaitQueue.size() > 0) {
             mWaitQueue.removeAccepted(
                     r -> loaded.contains(r.dispatchRequest().adapter()),
-                    ProxiedRequest::tryPlace,
+                    RequestContext::tryPlace,
                     now());
         }
     }
@@ -278,12 +301,6 @@
         mOrders.requestAdapter(engine, demand);
     }
 
-    /** Records that a request is no longer at an engine, and publishes that. */
-    void releaseEngine(DispatchRequest request, Engine engine) {
-        mDispatcher.onEnded(engine.id(), request);
-        publishWork(request, engine);
-    }
-
     /** Publishes this node's work on an engine, which a request has changed. */
     void publishWork(DispatchRequest request, Engine engine) {
         if (request.needsModelEngine()) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestLog.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.stream.Collectors;
+import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
 import org.fescuehollow.dispatch.PromptSegment;
 import org.fescuehollow.dispatch.QueueTimeout;
 import org.fescuehollow.gateway.log.EventLog;
+import org.fescuehollow.platform.RequestHead;
 
 /**
  * Logs the events of one request.
@@ -30,6 +32,22 @@
         mSilentMillis = time.toMillis();
     }
 
+    /** Logs that a client resumes a stream, if it does. */
+    void logTakeUp(Route route, RequestHead head) {
+        if (!head.lastEventId().isEmpty()) {
+            mLog.event(
+                    "take_up",
+                    "id",
+                    head.attemptId(),
+                    "route",
+                    route.name(),
+                    "after",
+                    head.lastEventId(),
+                    "resumes",
+                    head.resumes());
+        }
+    }
+
     void logWaiting(DispatchRequest request, String reason, String loadingEngine, long now) {
         mLog.event(
                 "waiting",
@@ -45,7 +63,7 @@
                 QueueTimeout.remainingMillis(request, now));
     }
 
-    void logSent(Route route, DispatchRequest request, String engine, int runs, long now) {
+    void logSent(Route route, DispatchRequest request, Engine engine, int runs, long now) {
         mLog.event(
                 "sent",
                 "id",
@@ -53,7 +71,9 @@
                 "route",
                 route.name(),
                 "engine",
-                engine,
+                engine.id(),
+                "software",
+                engine.softwareVersion(),
                 "adapter",
                 request.adapter(),
                 "prompt",
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,11 +5,9 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,11 +18,11 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fescuehollow.gateway.EntryNode;
 import org.fescuehollow.gateway.node.NodeSettings;
 
@@ -33,10 +31,6 @@
     private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
 
-    /** Ports below those that the operating system chooses for others. */
-    private static final int MIN_PORT = 12_000;
-
-    private static final int MAX_PORT = 30_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -52,26 +46,13 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private int mLatencyObjectiveMillis = 15_000;
+    private int mTimeoutMillis = DEADLINE_MILLIS;
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
-    private final int mListenPort = freePort(0);
-    private final int mReadinessPort = freePort(1);
-    private final int mExchangePort = freePort(0);
-
-    /** Returns a free port, by its parity unlike that of the node's other server. */
-    private static int freePort(int parity) {
-        while (true) {
-            int port = 2 * ThreadLocalRandom.current().nextInt(MIN_PORT / 2, MAX_PORT / 2) + parity;
-            try (ServerSocket s = new ServerSocket(port)) {
-                return s.getLocalPort();
-            } catch (BindException e) {
-                LOG.log(System.Logger.Level.DEBUG, "port {0} is in use", port);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-    }
+    private final int mListenPort = FreePorts.find(0);
+    private final int mReadinessPort = FreePorts.find(1);
+    private final int mExchangePort = FreePorts.find(0);
 
     public Vertx vertx() {
         return mVertx;
@@ -194,6 +175,12 @@
         return this;
     }
 
+    /** Sets the timeout of routes that are published from now on. */
+    public TestCluster routeTimeout(int millis) {
+        mTimeoutMillis = millis;
+        return this;
+    }
+
     /** Sets the bounds in the settings of nodes that are started from now on. */
     public TestCluster bounds(JsonObject bounds) {
         mBounds = bounds;
@@ -207,7 +194,7 @@
                 .put("host", host)
                 .put("prefix", prefix)
                 .put("type", type)
-                .put("timeout-ms", DEADLINE_MILLIS)
+                .put("timeout-ms", mTimeoutMillis)
                 .put("target-latency-ms", mLatencyObjectiveMillis)
                 .put("gap-aim-ms", MAX_GAP_MILLIS)
                 .put("service", service)
@@ -221,7 +208,15 @@
             node.start();
             mNodes.add(node);
         }
-        await(() -> readiness(0) == 200);
+        await(() -> IntStream.range(0, count).allMatch(i -> readiness(i) == 200));
+    }
+
+    /** Stops all nodes, without a planned stop, and starts as many anew. */
+    public void restartNodes() {
+        int count = mNodes.size();
+        mNodes.forEach(EntryNode::stop);
+        mNodes.clear();
+        startNodes(count);
     }
 
     /** Starts the first node in a process of its own. */
@@ -246,6 +241,11 @@
         return mListenPort;
     }
 
+    /** Returns the port for messages between nodes. */
+    public int exchangePort() {
+        return mExchangePort;
+    }
+
     private String settings(int i) {
         String ip = "127.0.0." + (i + 1);
         return new JsonObject()
@@ -281,8 +281,7 @@
 
     /** Sends a request for the base model to the first node and returns its response. */
     public HttpResponse<String> callBaseModel(String path, String id) {
-        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
-        return send(0, mListenPort, withModel(request, "m"), path);
+        return send(0, mListenPort, modelRequest(path, id), path);
     }
 
     /** Sends a request for the base model to the first node and reads its response to the end. */
@@ -311,9 +310,7 @@
      * Sends a request for the base model to the first node and awaits the status of its response.
      */
     public int awaitStatus(String path, String id) {
-        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
-        return StreamedResponse.awaitStatus(
-                mClient, withModel(request, "m").uri(uri(0, mListenPort, path)).build());
+        return StreamedResponse.awaitStatus(mClient, modelRequest(path, id).build());
     }
 
     /** Sends a request with the given id to a node and returns its response. */
@@ -369,6 +366,11 @@
         }
     }
 
+    /** Returns the address of a path at a node, for clients. */
+    URI clientUri(int node, String path) {
+        return uri(node, mListenPort, path);
+    }
+
     private static URI uri(int node, int port, String path) {
         return URI.create("http://127.0.0." + (node + 1) + ":" + port + path);
     }
