Stop: a stream that left a silent engine goes on if the next one refuses it

Callers could still see a stream aborted during a stop after it had left a silent engine: if the next engine refused it later, the stop allowed no further run, as one usually takes longer than what is left (answer_lost STOPPING).

Cause: the stop refuses what may end too late, so that its client can go elsewhere with a final answer. A response that has begun gets none, and the engine that might have completed it was left by the node's own choice.

DrainSchedule.mayGoOn is now asked for such a request: it may be sent until the final answers. One whose engine broke off is refused as before.

DrainScheduleTest#mayGoOn_lastsUntilTheFinalAnswers is new.

--- a/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
+++ b/core/src/main/java/org/fescuehollow/drain/DrainSchedule.java
@@ -99,7 +99,7 @@
      */
     public boolean maySend(
             DispatchRequest request, Route route, OptionalLong usualNanos, long now) {
-        if (now >= finalAnswersNanos()) {
+        if (!mayGoOn(now)) {
             return false;
         }
         if (request.deadlineNanos() <= finalAnswersNanos()) {
@@ -113,6 +113,18 @@
         return now + neededNanos(route, usualNanos, objectiveNanos) <= finalAnswersNanos();
     }
 
+    /**
+     * Returns whether a request may be sent that was taken from an engine which might still have
+     * answered it. Refusing it would end its answer sooner than the engine would have, so it has
+     * all the time there is.
+     *
+     * @param now the monotonic time in nanoseconds
+     * @return false once final answers are sent
+     */
+    public boolean mayGoOn(long now) {
+        return now < finalAnswersNanos();
+    }
+
     private static long neededNanos(Route route, OptionalLong usualNanos, long objectiveNanos) {
         return switch (route.kind()) {
             case IDEMPOTENT -> usualNanos.orElse(objectiveNanos);
--- a/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
+++ b/core/src/test/java/org/fescuehollow/drain/DrainScheduleTest.java
@@ -113,6 +113,21 @@
         then(mLong.maySend(earlier.resumedAt(now), route, OptionalLong.empty(), now)).isTrue();
     }
 
+    @Test
+    void mayGoOn_lastsUntilTheFinalAnswers() {
+        DispatchRequest request = request(0, 1_000, LONG_DEADLINE_MILLIS);
+        for (long millis = 0; millis < 8_000; millis += 10) {
+            long now = STOP + millis(millis);
+            boolean mayGoOn = mLong.mayGoOn(now);
+            then(mayGoOn).isEqualTo(now < mLong.finalAnswersNanos());
+            // Whatever may be sent anew may go on.
+            for (RouteKind kind : RouteKind.values()) {
+                then(mLong.maySend(request, route(kind), OptionalLong.empty(), now) && !mayGoOn)
+                        .isFalse();
+            }
+        }
+    }
+
     @Test
     void maySend_trustsKnownTimesMoreThanTheObjective() {
         DispatchRequest request = request(0, 15_000, LONG_DEADLINE_MILLIS);
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/Attempt.java
@@ -137,7 +137,7 @@
         request.exceptionHandler(guarded(this::onBroken));
         InterimResponses.limit(request, guarded(this::onBroken));
         request.response().onSuccess(guarded(this::onResponse)).onFailure(guarded(this::onBroken));
-        mProxiedRequest.onSent();
+        mProxiedRequest.retries().onSent();
         if (mProxiedRequest.route().kind() == RouteKind.STREAM) {
             mStream = Optional.of(mContext.watchStream(this, mProxiedRequest.route()));
         }
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -3,9 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.fescuehollow.catalog.Engine;
 import org.fescuehollow.catalog.Route;
 import org.fescuehollow.dispatch.DispatchRequest;
@@ -34,11 +32,10 @@
     private DispatchRequest mDispatchRequest;
     private final ClientResponse mResponse;
     private final EventStreamReader mEvents;
-    private final Set<String> mExcludedEngines = new HashSet<>();
+    private final Retries mRetries;
     private Optional<Attempt> mAttempt = Optional.empty();
     private boolean mMayHaveRun;
     private boolean mDone;
-    private int mRuns;
     private String mWaitReason = "";
     private String mLoadingEngine = "";
 
@@ -53,6 +50,7 @@
         mClientRequest = request;
         mBody = body;
         mRoute = route;
+        mRetries = new Retries(context, route);
         mHead = head;
         mDispatchRequest = dispatchRequest;
         mResponse = new ClientResponse(context, request);
@@ -147,13 +145,14 @@
             fail(mMayHaveRun ? GatewayError.ANSWER_LOST : GatewayError.CRASHES_ENGINES);
             return true;
         }
-        if (!mContext.maySend(mDispatchRequest, mRoute)) {
+        if (!mRetries.maySend(mDispatchRequest)) {
             mWaitReason = "STOPPING";
             giveUp();
             return true;
         }
         long now = mContext.now();
-        Placement placement = mContext.dispatcher().place(mDispatchRequest, mExcludedEngines, now);
+        Placement placement =
+                mContext.dispatcher().place(mDispatchRequest, mRetries.avoided(), now);
         if (placement instanceof Placement.Send send) {
             send.loadTarget().ifPresent(e -> mContext.requestAdapter(mDispatchRequest, e));
             return mContext.catalog().engine(send.engine()).map(e -> sendTo(e, now)).orElse(false);
@@ -187,7 +186,7 @@
         Attempt attempt = new Attempt(mContext, this, engine);
         mAttempt = Optional.of(attempt);
         mContext.onSentToEngine(this);
-        mLog.logSent(mRoute, mDispatchRequest, engine.id(), mRuns, now);
+        mLog.logSent(mRoute, mDispatchRequest, engine.id(), mRetries.runs(), now);
         attempt.start();
         return true;
     }
@@ -199,9 +198,9 @@
         mContext.dispatchWaiting();
     }
 
-    /** Records that an attempt sends the request to an engine, which may run it from now on. */
-    void onSent() {
-        mRuns++;
+    /** Returns the runs of the request. */
+    Retries retries() {
+        return mRetries;
     }
 
     /** Records how long an engine had sent nothing when its stream ended. */
@@ -212,8 +211,10 @@
     /** Handles the end of an attempt that certainly did not run. */
     void onNotRun(Engine engine, String cause, boolean reachedEngine) {
         onAttemptEnded(engine, cause);
-        mRuns -= reachedEngine ? 1 : 0;
-        mExcludedEngines.add(engine.id());
+        if (reachedEngine) {
+            mRetries.onNotRun();
+        }
+        mRetries.avoid(engine);
         boolean mayRetry =
                 QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
                         && (!reachedEngine || mContext.tryRetry(mDispatchRequest.service()));
@@ -229,7 +230,7 @@
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
         if (tryTakeRetry()) {
-            mExcludedEngines.add(engine.id());
+            mRetries.avoid(engine);
             onStreamInterrupted();
             placeOrWait();
         } else {
@@ -264,11 +265,7 @@
     }
 
     private boolean mayRetry() {
-        return mRoute.isRetryable()
-                && mResponse.acceptsEvents()
-                && mRuns < mRoute.maxAttempts()
-                && QueueTimeout.hasTimeToRetry(mDispatchRequest, mContext.now())
-                && mContext.maySend(nextRequest(), mRoute);
+        return mResponse.acceptsEvents() && mRetries.mayRetry(nextRequest());
     }
 
     /** Ends an attempt that failed at an engine and retries the request at another one. */
@@ -280,7 +277,7 @@
     private void onAttemptRetried(Engine engine, String cause) {
         onAttemptEnded(engine, cause);
         mMayHaveRun = true;
-        mExcludedEngines.add(engine.id());
+        mRetries.avoid(engine);
         onStreamInterrupted();
     }
 
@@ -296,9 +293,7 @@
         if (!mayRetry() || mTraits.isBlocked()) {
             return;
         }
-        Set<String> excluded = new HashSet<>(mExcludedEngines);
-        excluded.add(engine.id());
-        Placement placement = mContext.dispatcher().place(next, excluded, now);
+        Placement placement = mContext.dispatcher().place(next, mRetries.avoidedAnd(engine), now);
         placement.loadTarget().ifPresent(e -> mContext.requestAdapter(next, e));
         Optional<Engine> target =
                 placement
@@ -307,6 +302,7 @@
                         .flatMap(mContext.catalog()::engine);
         if (target.isPresent() && mContext.tryRetry(mDispatchRequest.service())) {
             attemptCloser.run();
+            mRetries.onLeftSilentEngine();
             onAttemptRetried(engine, "silent");
             sendTo(target.get(), now);
         }
@@ -325,7 +321,7 @@
         mContext.releaseEngine(mDispatchRequest, engine);
         mContext.node().metrics().countAttempt(mDispatchRequest.service(), result.split(" ")[0]);
         if (!result.startsWith("status 2")) {
-            mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRuns, answered);
+            mLog.logAttemptFailed(mDispatchRequest, engine.id(), result, mRetries.runs(), answered);
         }
         mContext.dispatchWaiting();
     }
@@ -376,7 +372,7 @@
             return;
         }
         mWaitReason = reason;
-        mMayHaveRun |= mRuns > 0;
+        mMayHaveRun |= mRetries.runs() > 0;
         mGuard.run(() -> mAttempt.ifPresent(Attempt::cancel));
         mGuard.run(this::giveUp);
         if (!mDone) {
--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/RequestContext.java
@@ -333,6 +333,11 @@
                 .orElse(true);
     }
 
+    /** Returns whether a request that an engine had begun may be sent to another one. */
+    boolean mayGoOn() {
+        return mDrainSchedule.map(d -> d.mayGoOn(now())).orElse(true);
+    }
+
     /** Returns when the client of a rejected request should retry, in seconds. */
     double retryAfterSeconds(DispatchRequest request) {
         double seconds = QueueTimeout.retryAfterSeconds(request, now());
