Catalog: the store's history is searched also if no engine is listed

All entries expire while the store is away for long, and return later; the changes of the time before are kept. The search took the number of engines for the bound of what may be kept, so it asked for nothing. Ten are assumed at least.

--- a/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
+++ b/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
@@ -22,6 +22,9 @@
     /** Engines also write when their state changes, and others write to the store, too. */
     private static final double OTHER_WRITES_FACTOR = 1.2;
 
+    /** Entries may have expired while the store was away. */
+    private static final int MIN_ENGINES = 10;
+
     /** Bounds the search if the settings are unusual. */
     private static final long MAX_REVISIONS = 1_000_000;
 
@@ -47,14 +50,17 @@
      * Starts a search.
      *
      * @param revision the store's revision
-     * @param engines the number of engines
+     * @param engines the number of engines that are listed
      * @param history how long the store keeps changes
      * @param heartbeat the time between two writes of an engine
      */
     public HistorySearch(long revision, int engines, Duration history, Duration heartbeat) {
         mRevision = revision;
         double beats = (double) history.toNanos() / Math.max(1, heartbeat.toNanos());
-        double changes = Math.min(MAX_REVISIONS, engines * beats * OTHER_WRITES_FACTOR);
+        double changes =
+                Math.min(
+                        MAX_REVISIONS,
+                        Math.max(MIN_ENGINES, engines) * beats * OTHER_WRITES_FACTOR);
         mKept = revision;
         mGone = Math.max(-1, revision - (long) Math.ceil(changes));
         mDone = changes < 1 || revision <= 0;
