Versions: entries that expired in an outage of the store keep their past

Heartbeats are counted for an incarnation, whether its entry expired or not; one is subtracted for each removal, as an engine writes out of turn when its entry is gone. An engine that returned was there before if it was born before the first change that can be kept; for the same reason an engine that started again without a removal is no longer taken for the one before.

--- a/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -18,9 +18,10 @@
  * keeps, for a process that has just started.
  *
  * <p>An entry that was created after the first of these changes joins with its first write; the
- * others were there from the start, as their first write says. One that was draining or removed by
- * then may have been ready before, or at any version, so the result begins only after that change.
- * Its age follows from the heartbeats since, of which each engine writes one per interval.
+ * others were there from the start, as their first write says. One that was draining by then, was
+ * removed and didn't return, or has started since may have been ready before, or at any version, so
+ * the result begins only after that change. Its age follows from the heartbeats since, of which
+ * each engine writes one per interval. The store may drop and regain entries meanwhile.
  *
  * <p>Not safe for concurrent use.
  */
@@ -30,11 +31,19 @@
 
     private final List<Event> mEvents;
     private final Duration mHeartbeat;
-    private final Map<String, List<Integer>> mWrites = new HashMap<>();
-    private final Map<String, Integer> mLastRemovals = new HashMap<>();
+    private final long mBornBeforeMillis;
+    private final Map<Incarnation, List<Integer>> mWrites = new HashMap<>();
+    private final Map<String, List<Integer>> mRemovals = new HashMap<>();
     private final Map<String, Engine> mEngines = new HashMap<>();
     private final Map<ServiceModel, List<AgedShares>> mShares = new HashMap<>();
 
+    /** An engine between two starts. */
+    private record Incarnation(String id, long startedMillis) {
+        static Incarnation of(Engine engine) {
+            return new Incarnation(engine.id(), engine.startedMillis());
+        }
+    }
+
     /**
      * An entry as it is now.
      *
@@ -62,19 +71,24 @@
      */
     public record Result(Duration covered, Map<ServiceModel, List<AgedShares>> shares) {}
 
-    private VersionReplay(List<Event> events, Duration heartbeat) {
+    private VersionReplay(List<Event> events, Duration heartbeat, long bornBeforeMillis) {
         mEvents = events;
         mHeartbeat = heartbeat;
+        mBornBeforeMillis = bornBeforeMillis;
         for (int i = 0; i < events.size(); i++) {
             Event e = events.get(i);
+            int index = i;
             if (e.removed()) {
-                mLastRemovals.put(e.id(), i);
-            } else {
-                mWrites.computeIfAbsent(e.id(), id -> new ArrayList<>()).add(i);
+                add(mRemovals, e.id(), index);
             }
+            e.engine().ifPresent(engine -> add(mWrites, Incarnation.of(engine), index));
         }
     }
 
+    private static <K> void add(Map<K, List<Integer>> lists, K key, int index) {
+        lists.computeIfAbsent(key, k -> new ArrayList<>()).add(index);
+    }
+
     /**
      * Replays the changes.
      *
@@ -86,19 +100,43 @@
      */
     public static Result replay(
             Collection<Entry> entries, List<Event> events, long afterRevision, Duration heartbeat) {
-        return new VersionReplay(events, heartbeat).run(entries, afterRevision);
+        return replay(entries, events, afterRevision, heartbeat, Long.MAX_VALUE);
+    }
+
+    /**
+     * Replays the changes, some of which may be of engines that started between two of them.
+     *
+     * @param entries the entries as they are now
+     * @param events all changes after a revision, in order
+     * @param afterRevision that revision
+     * @param heartbeat the time between two writes of an engine that doesn't change
+     * @param bornBeforeMillis a Unix time before the first change, by the clock of any engine
+     * @return the shares
+     */
+    public static Result replay(
+            Collection<Entry> entries,
+            List<Event> events,
+            long afterRevision,
+            Duration heartbeat,
+            long bornBeforeMillis) {
+        return new VersionReplay(events, heartbeat, bornBeforeMillis).run(entries, afterRevision);
     }
 
     private Result run(Collection<Entry> entries, long afterRevision) {
         Map<String, Event> firsts = new LinkedHashMap<>();
-        mEvents.forEach(e -> firsts.putIfAbsent(e.id(), e));
+        Map<String, Engine> firstEngines = new HashMap<>();
+        for (Event e : mEvents) {
+            firsts.putIfAbsent(e.id(), e);
+            e.engine().ifPresent(engine -> firstEngines.putIfAbsent(e.id(), engine));
+        }
         Set<String> unknown = new HashSet<>();
         for (Event first : firsts.values()) {
-            boolean ready = first.engine().filter(e -> !e.draining()).isPresent();
-            if (first.removed() || first.created() <= afterRevision && !ready) {
-                unknown.add(first.id());
-            } else if (first.created() <= afterRevision) {
-                mEngines.put(first.id(), first.engine().orElseThrow());
+            if (first.removed() || first.created() <= afterRevision) {
+                Optional.ofNullable(firstEngines.get(first.id()))
+                        .filter(e -> first.removed() || first.engine().isPresent())
+                        .filter(this::servedBefore)
+                        .ifPresentOrElse(
+                                e -> mEngines.put(e.id(), e), () -> unknown.add(first.id()));
             }
         }
         entries.stream()
@@ -120,6 +158,11 @@
         return new Result(minAge(start), mShares);
     }
 
+    /** An engine doesn't cease to drain, so it served from its start until it was first seen. */
+    private boolean servedBefore(Engine engine) {
+        return !engine.draining() && engine.startedMillis() < mBornBeforeMillis;
+    }
+
     /** Applies a change and returns which shares it may have changed. */
     private Set<ServiceModel> apply(Event event) {
         Optional<Engine> before = Optional.ofNullable(mEngines.remove(event.id()));
@@ -149,9 +192,9 @@
     /** Returns how long ago a number of changes had been made, at least. */
     private Duration minAge(int applied) {
         List<Integer> beats =
-                mEngines.keySet().stream()
-                        .filter(id -> mLastRemovals.getOrDefault(id, -1) < applied)
-                        .map(id -> writesFrom(id, applied))
+                mEngines.values().stream()
+                        .filter(e -> isThereAtTheEnd(e, applied))
+                        .map(e -> beatsFrom(e, applied))
                         .sorted()
                         .toList();
         if (beats.isEmpty()) {
@@ -161,9 +204,26 @@
         return mHeartbeat.multipliedBy(Math.max(0, count - 1));
     }
 
-    private int writesFrom(String id, int index) {
-        List<Integer> writes = mWrites.getOrDefault(id, List.of());
-        int at = Collections.binarySearch(writes, index);
-        return writes.size() - (at < 0 ? -at - 1 : at);
+    private boolean isThereAtTheEnd(Engine engine, int applied) {
+        int removed = last(mRemovals.get(engine.id()));
+        return removed < applied || removed < last(mWrites.get(Incarnation.of(engine)));
+    }
+
+    private static int last(List<Integer> sorted) {
+        return sorted == null ? -1 : sorted.get(sorted.size() - 1);
+    }
+
+    /** Returns the number of heartbeats; an engine whose entry was removed writes out of turn. */
+    private int beatsFrom(Engine engine, int index) {
+        return countFrom(mWrites.get(Incarnation.of(engine)), index)
+                - countFrom(mRemovals.get(engine.id()), index);
+    }
+
+    private static int countFrom(List<Integer> sorted, int index) {
+        if (sorted == null) {
+            return 0;
+        }
+        int at = Collections.binarySearch(sorted, index);
+        return sorted.size() - (at < 0 ? -at - 1 : at);
     }
 }
--- a/core/src/test/java/org/fescuehollow/versions/VersionReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/versions/VersionReplayTest.java
@@ -159,4 +159,58 @@
         then(replay().covered()).isZero();
         then(replay().shares()).isEmpty();
     }
+
+    /** Replays an outage of the store in which entries expire, of engines that go on running. */
+    @Test
+    void entries_thatExpiredAndReturnedAreKnownAndAgeAsBefore() {
+        for (int i = 0; i < 6; i++) {
+            write("e1", EARLIER, "v1");
+            write("e2", EARLIER, "v2");
+        }
+        List.of("e1", "e2", "e3").forEach(this::remove);
+        for (int i = 0; i < 6; i++) {
+            write("e1", LATER, "v1");
+            write("e2", LATER, "v2");
+            write("e3", LATER, "v2");
+        }
+        then(shares().get(0)).isEqualTo(Map.of("v1", 1, "v2", 2));
+        then(replay().covered()).isEqualTo(HEARTBEAT.multipliedBy(10));
+    }
+
+    @Test
+    void engine_thatReturnedAfterItStartedAgainIsUnknownBefore() {
+        long born = 1_000_000;
+        write("e1", EARLIER, "v1");
+        remove("e2");
+        Engine restarted =
+                new Engine(
+                        "e2",
+                        born,
+                        "llm",
+                        "v2",
+                        "10.0.0.1",
+                        80,
+                        "d",
+                        4,
+                        false,
+                        0,
+                        Set.of("m"),
+                        Map.of());
+        mEvents.add(new Event("e2", LATER, Optional.of(restarted), false));
+        VersionReplay.Result sound =
+                VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, born + 1);
+        then(sound.shares().get(KEY).get(0).shares().engines()).isEqualTo(Map.of("v1", 1, "v2", 1));
+        VersionReplay.Result result =
+                VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, born);
+        then(result.shares().get(KEY).stream().map(s -> s.shares().engines()))
+                .containsExactly(Map.of("v1", 1), Map.of("v1", 1, "v2", 1));
+    }
+
+    @Test
+    void engine_thatStartedAgainWithoutARemovalIsUnknownBefore() {
+        write("e1", EARLIER, "v1");
+        VersionReplay.Result result = VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, 1);
+        then(result.covered()).isZero();
+        then(result.shares().get(KEY)).hasSize(1);
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/VersionFeed.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/VersionFeed.java
@@ -23,6 +23,9 @@
     /** Before the store's first change, there was no engine at which a stream could begin. */
     private static final Duration SINCE_THE_FIRST_CHANGE = Duration.ofMinutes(1);
 
+    /** The store drops old changes late, and clocks differ. */
+    private static final double HISTORY_MARGIN = 1.25;
+
     private final NodeContext mContext;
     private final VersionRegistry mRegistry;
     private final HistoryReader mHistory;
@@ -76,7 +79,8 @@
         List<VersionReplay.Event> events =
                 changes.items().stream().map(VersionFeed::event).toList();
         VersionReplay.Result replay =
-                VersionReplay.replay(mListed, events, changes.after(), heartbeat);
+                VersionReplay.replay(
+                        mListed, events, changes.after(), heartbeat, oldestChangeMillis());
         if (changes.after() == 0) {
             replay = new VersionReplay.Result(SINCE_THE_FIRST_CHANGE, replay.shares());
         }
@@ -91,6 +95,12 @@
                         replay.shares().size());
     }
 
+    /** Returns a Unix time before all changes, as clocks differ. */
+    private long oldestChangeMillis() {
+        double seconds = mContext.settings().storeHistorySeconds() * HISTORY_MARGIN;
+        return System.currentTimeMillis() - (long) (seconds * 1_000);
+    }
+
     private static VersionReplay.Event event(StoreItem item) {
         EngineEntry entry = new EngineEntry(item, engine(item));
         return new VersionReplay.Event(entry.id(), item.created(), entry.engine(), item.removed());
