Versions: a version that the store keeps listing is chosen again

A node with no engine of a version in use, though the store lists some, gave their streams to other versions for good, and other nodes went on deriving the listed one. Such a version is expected to leave, so its streams go elsewhere only for two adoption delays.

--- a/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.fescuehollow.catalog.BoundedMap;
 import org.fescuehollow.catalog.Engine;
 
 /**
@@ -32,9 +33,12 @@
 public final class VersionRegistry {
     private static final int MAX_HISTORIES = 1_024;
 
+    private static final int MAX_UNUSABLE = 1_024;
+
     private final Duration mAdoptionDelay;
     private final Map<String, Engine> mEntries = new HashMap<>();
     private final Map<ServiceModel, VersionHistory> mHistories = new HashMap<>();
+    private final Map<Served, Long> mUnusableSince = new BoundedMap<>(MAX_UNUSABLE);
     private Set<Served> mUsable = Set.of();
     private boolean mListed;
     private long mListedNanos;
@@ -265,7 +269,8 @@
             return Optional.empty();
         }
         ServiceModel key = new ServiceModel(service, model);
-        Predicate<String> usable = v -> mUsable.contains(new Served(key, v));
+        Set<String> read = VersionShares.count(mEntries.values(), key).versions();
+        Predicate<String> usable = v -> isUsable(new Served(key, v), read.contains(v), now);
         return find(key)
                 .filter(h -> now >= mSettledFrom || h.isSettled(id, usable, now))
                 .flatMap(h -> h.pick(id, usable, now));
@@ -318,6 +323,19 @@
                         .equals(pick(service, model, id, now));
     }
 
+    /**
+     * Returns whether streams may get a version. One that the store lists, although none of its
+     * engines is in use here, is expected to leave; if it stays, the other nodes go on choosing it.
+     */
+    private boolean isUsable(Served version, boolean listed, long now) {
+        if (mUsable.contains(version) || !listed) {
+            mUnusableSince.remove(version);
+            return mUsable.contains(version);
+        }
+        long since = mUnusableSince.computeIfAbsent(version, v -> now);
+        return now - since > 2 * mAdoptionDelay.toNanos();
+    }
+
     private Optional<VersionHistory> fresh(String service, String model, long now) {
         return isStale(now) ? Optional.empty() : find(new ServiceModel(service, model));
     }
--- a/core/src/test/java/org/fescuehollow/versions/VersionRegistryTest.java
+++ b/core/src/test/java/org/fescuehollow/versions/VersionRegistryTest.java
@@ -192,6 +192,20 @@
         then(mRegistry.isAmbiguous("llm", "m", STAYS, LIFE, seconds(60.5))).isTrue();
     }
 
+    /** Guards against a node that leaves a version for good which all others go on choosing. */
+    @Test
+    void pick_returnsToAVersionThatTheStoreKeepsListing() {
+        list(0, engine("e1", "v1", false), engine("e2", "v2", false));
+        keepReading(60);
+        mRegistry.setInUse(List.of(engine("e2", "v2", false)));
+        then(pick(STAYS, 60)).contains("v2");
+        keepReading(63.1);
+        then(pick(STAYS, 63.1)).contains("v1");
+        mRegistry.onRemoved("e1", seconds(64));
+        keepReading(64);
+        then(pick(STAYS, 64)).contains("v2");
+    }
+
     @Test
     void entry_ofAnEngineThatReturnsAtAnotherVersionChangesTheShares() {
         list(0, engine("e1", "v1", false));
