Versions: the weights of the nodes for a stream are computed once

The comparison while sorting computed the hashes of both nodes each time: some 2,500 hashes for one record at 95 VMs, now 94.

--- a/core/src/main/java/org/fescuehollow/versions/OriginHolders.java
+++ b/core/src/main/java/org/fescuehollow/versions/OriginHolders.java
@@ -16,6 +16,13 @@
     /** Records survive the loss of the first node and of two more. */
     public static final int COUNT = 3;
 
+    private static final Comparator<Ranked> BY_WEIGHT =
+            ((Comparator<Ranked>) (a, b) -> Long.compareUnsigned(b.weight(), a.weight()))
+                    .thenComparing(Ranked::name);
+
+    /** A node and its weight for a stream, which is computed once. */
+    private record Ranked(String name, long weight) {}
+
     private OriginHolders() {}
 
     /**
@@ -27,15 +34,11 @@
      */
     public static List<String> of(String id, Collection<String> peers) {
         long key = Rendezvous.hash(id);
-        Comparator<String> byWeight =
-                (a, b) -> Long.compareUnsigned(weight(key, b), weight(key, a));
         return peers.stream()
-                .sorted(byWeight.thenComparing(Comparator.naturalOrder()))
+                .map(p -> new Ranked(p, Rendezvous.weight(key, Rendezvous.hash(p))))
+                .sorted(BY_WEIGHT)
                 .limit(COUNT)
+                .map(Ranked::name)
                 .toList();
     }
-
-    private static long weight(long key, String node) {
-        return Rendezvous.weight(key, Rendezvous.hash(node));
-    }
 }
