--- a/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
+++ b/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
@@ -31,7 +31,11 @@
     /** The oldest changes are dropped while the search goes on; a share of those that are kept. */
     private static final double AGEING_SHARE = 0.02;
 
+    /** A store with more changes than this share of the bound has probably dropped the first. */
+    private static final double OLDEST_SHARE = 0.4;
+
     private final long mRevision;
+    private final boolean mTriesOldest;
     private long mKept;
     private long mGone;
     private Call mCall = new Call(0, false);
@@ -63,6 +67,7 @@
                         Math.max(MIN_ENGINES, engines) * beats * OTHER_WRITES_FACTOR);
         mKept = revision;
         mGone = Math.max(-1, revision - (long) Math.ceil(changes));
+        mTriesOldest = revision <= changes * OLDEST_SHARE;
         mDone = changes < 1 || revision <= 0;
     }
 
@@ -81,7 +86,7 @@
     }
 
     private Call chooseCall() {
-        if (mGone < 0) {
+        if (mTriesOldest && mCalls == 1) {
             // All that was ever written may still be kept.
             return new Call(0, true);
         }
--- a/core/src/test/java/org/fescuehollow/catalog/HistorySearchTest.java
+++ b/core/src/test/java/org/fescuehollow/catalog/HistorySearchTest.java
@@ -73,6 +73,13 @@
         then(mCalls).hasSize(HistorySearch.MAX_CALLS);
     }
 
+    /** As 24 s after the start of a deployment, with 21 engines listed. */
+    @Test
+    void search_triesAnOldRevisionFirstIfTheFirstChangesAreProbablyGone() {
+        then(run(search(209, 21), 58).orElseThrow()).isBetween(58L, 85L);
+        then(mCalls.stream().filter(HistorySearch.Call::withChanges)).hasSize(1);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 90, 10_000})
     void search_endsIfNothingIsKept(long revision) {
