Versions: replayed shares age by the heartbeats that entries count

In a trial of two versions in service, all VMs killed at 24 s, fresh processes read 153 changes of some 19 s, but knew the shares of 10.8 s only: entries that stay the same aren't written at each heartbeat, so counting writes counts too little. The count in an entry grows by one per heartbeat: 30 in 36.5 s in a trace, whether it was written or not, while the engine took 90 orders. It is used where it fits the time since the engine's start, else writes are counted as before.

Writes out of turn don't count: the one that says that the engine drains, and one for each removal of the entry.

--- a/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -29,10 +28,18 @@
     /** Of the engines that were there throughout, at most a quarter wrote out of turn. */
     private static final double BEATS_QUANTILE = 0.75;
 
+    /** Heartbeats are a little late, and the last ones may have left an entry as it was. */
+    private static final double MIN_BEATS_SHARE = 0.75;
+
+    private static final double MAX_BEATS_SHARE = 1.05;
+
+    /** Writes out of turn, and the difference of clocks. */
+    private static final long BEATS_SLACK = 3;
+
     private final List<Event> mEvents;
     private final Duration mHeartbeat;
-    private final long mBornBeforeMillis;
-    private final Map<Incarnation, List<Integer>> mWrites = new HashMap<>();
+    private final Times mTimes;
+    private final Map<Incarnation, List<Write>> mWrites = new HashMap<>();
     private final Map<String, List<Integer>> mRemovals = new HashMap<>();
     private final Map<String, Engine> mEngines = new HashMap<>();
     private final Map<ServiceModel, List<AgedShares>> mShares = new HashMap<>();
@@ -44,6 +51,9 @@
         }
     }
 
+    /** A write of an entry: its position among the changes, and the count that it names. */
+    private record Write(int index, long count) {}
+
     /**
      * An entry as it is now.
      *
@@ -71,22 +81,38 @@
      */
     public record Result(Duration covered, Map<ServiceModel, List<AgedShares>> shares) {}
 
-    private VersionReplay(List<Event> events, Duration heartbeat, long bornBeforeMillis) {
+    /**
+     * Times of day by this node's clock, which may differ somewhat from those of engines.
+     *
+     * @param nowMillis the Unix time; 0 if it isn't known
+     * @param bornBeforeMillis a Unix time before the first change
+     */
+    public record Times(long nowMillis, long bornBeforeMillis) {
+        private static final Times UNKNOWN = new Times(0, Long.MAX_VALUE);
+    }
+
+    private VersionReplay(List<Event> events, Duration heartbeat, Times times) {
         mEvents = events;
         mHeartbeat = heartbeat;
-        mBornBeforeMillis = bornBeforeMillis;
+        mTimes = times;
         for (int i = 0; i < events.size(); i++) {
             Event e = events.get(i);
             int index = i;
             if (e.removed()) {
                 add(mRemovals, e.id(), index);
             }
-            e.engine().ifPresent(engine -> add(mWrites, Incarnation.of(engine), index));
+            e.engine()
+                    .ifPresent(
+                            engine ->
+                                    add(
+                                            mWrites,
+                                            Incarnation.of(engine),
+                                            new Write(index, engine.orderCount())));
         }
     }
 
-    private static <K> void add(Map<K, List<Integer>> lists, K key, int index) {
-        lists.computeIfAbsent(key, k -> new ArrayList<>()).add(index);
+    private static <K, V> void add(Map<K, List<V>> lists, K key, V value) {
+        lists.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
     }
 
     /**
@@ -100,7 +126,7 @@
      */
     public static Result replay(
             Collection<Entry> entries, List<Event> events, long afterRevision, Duration heartbeat) {
-        return replay(entries, events, afterRevision, heartbeat, Long.MAX_VALUE);
+        return replay(entries, events, afterRevision, heartbeat, Times.UNKNOWN);
     }
 
     /**
@@ -110,7 +136,7 @@
      * @param events all changes after a revision, in order
      * @param afterRevision that revision
      * @param heartbeat the time between two writes of an engine that doesn't change
-     * @param bornBeforeMillis a Unix time before the first change, by the clock of any engine
+     * @param times when it is replayed
      * @return the shares
      */
     public static Result replay(
@@ -118,8 +144,8 @@
             List<Event> events,
             long afterRevision,
             Duration heartbeat,
-            long bornBeforeMillis) {
-        return new VersionReplay(events, heartbeat, bornBeforeMillis).run(entries, afterRevision);
+            Times times) {
+        return new VersionReplay(events, heartbeat, times).run(entries, afterRevision);
     }
 
     private Result run(Collection<Entry> entries, long afterRevision) {
@@ -160,7 +186,7 @@
 
     /** An engine doesn't cease to drain, so it served from its start until it was first seen. */
     private boolean servedBefore(Engine engine) {
-        return !engine.draining() && engine.startedMillis() < mBornBeforeMillis;
+        return !engine.draining() && engine.startedMillis() < mTimes.bornBeforeMillis();
     }
 
     /** Applies a change and returns which shares it may have changed. */
@@ -191,7 +217,7 @@
 
     /** Returns how long ago a number of changes had been made, at least. */
     private Duration minAge(int applied) {
-        List<Integer> beats =
+        List<Long> beats =
                 mEngines.values().stream()
                         .filter(e -> isThereAtTheEnd(e, applied))
                         .map(e -> beatsFrom(e, applied))
@@ -200,30 +226,54 @@
         if (beats.isEmpty()) {
             return Duration.ZERO;
         }
-        int count = beats.get((int) ((beats.size() - 1) * BEATS_QUANTILE));
-        return mHeartbeat.multipliedBy(Math.max(0, count - 1));
+        long count = beats.get((int) ((beats.size() - 1) * BEATS_QUANTILE));
+        return mHeartbeat.multipliedBy(Math.max(0, count));
     }
 
     private boolean isThereAtTheEnd(Engine engine, int applied) {
-        int removed = last(mRemovals.get(engine.id()));
-        return removed < applied || removed < last(mWrites.get(Incarnation.of(engine)));
-    }
-
-    private static int last(List<Integer> sorted) {
-        return sorted == null ? -1 : sorted.get(sorted.size() - 1);
+        List<Integer> removals = mRemovals.getOrDefault(engine.id(), List.of());
+        int removed = removals.isEmpty() ? -1 : removals.get(removals.size() - 1);
+        return removed < applied
+                || writes(engine).stream().reduce((a, b) -> b).map(Write::index).orElse(-1)
+                        > removed;
     }
 
-    /** Returns the number of heartbeats; an engine whose entry was removed writes out of turn. */
-    private int beatsFrom(Engine engine, int index) {
-        return countFrom(mWrites.get(Incarnation.of(engine)), index)
-                - countFrom(mRemovals.get(engine.id()), index);
+    private List<Write> writes(Engine engine) {
+        return mWrites.getOrDefault(Incarnation.of(engine), List.of());
     }
 
-    private static int countFrom(List<Integer> sorted, int index) {
-        if (sorted == null) {
+    /**
+     * Returns the number of heartbeats between the writes from an index on, at least. An engine
+     * that begins to drain or whose entry was removed writes out of turn.
+     */
+    private long beatsFrom(Engine engine, int index) {
+        List<Write> writes = writes(engine).stream().filter(w -> w.index() >= index).toList();
+        if (writes.isEmpty()) {
             return 0;
         }
-        int at = Collections.binarySearch(sorted, index);
-        return sorted.size() - (at < 0 ? -at - 1 : at);
+        Write last = writes.get(writes.size() - 1);
+        long beats = countsBeats(engine, last) ? last.count() - writes.get(0).count() : 0;
+        boolean drained = !isDraining(writes.get(0)) && isDraining(last);
+        long outOfTurn = removalsFrom(engine.id(), index) + (drained ? 1 : 0);
+        return Math.max(writes.size() - 1, beats) - outOfTurn;
+    }
+
+    private boolean isDraining(Write write) {
+        return mEvents.get(write.index()).engine().filter(Engine::draining).isPresent();
+    }
+
+    private long removalsFrom(String id, int index) {
+        return mRemovals.getOrDefault(id, List.of()).stream().filter(i -> i >= index).count();
+    }
+
+    /**
+     * Returns whether the count in an engine's entries is that of its heartbeats, also of those at
+     * which its entry stayed the same. It must fit the time since its start.
+     */
+    private boolean countsBeats(Engine engine, Write last) {
+        double lifeBeats =
+                (mTimes.nowMillis() - engine.startedMillis()) / (double) mHeartbeat.toMillis();
+        return last.count() >= lifeBeats * MIN_BEATS_SHARE
+                && last.count() <= lifeBeats * MAX_BEATS_SHARE + BEATS_SLACK;
     }
 }
--- a/core/src/test/java/org/fescuehollow/versions/VersionReplayTest.java
+++ b/core/src/test/java/org/fescuehollow/versions/VersionReplayTest.java
@@ -198,10 +198,12 @@
                         Map.of());
         mEvents.add(new Event("e2", LATER, Optional.of(restarted), false));
         VersionReplay.Result sound =
-                VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, born + 1);
+                VersionReplay.replay(
+                        mEntries, mEvents, AFTER, HEARTBEAT, new VersionReplay.Times(0, born + 1));
         then(sound.shares().get(KEY).get(0).shares().engines()).isEqualTo(Map.of("v1", 1, "v2", 1));
         VersionReplay.Result result =
-                VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, born);
+                VersionReplay.replay(
+                        mEntries, mEvents, AFTER, HEARTBEAT, new VersionReplay.Times(0, born));
         then(result.shares().get(KEY).stream().map(s -> s.shares().engines()))
                 .containsExactly(Map.of("v1", 1), Map.of("v1", 1, "v2", 1));
     }
@@ -209,8 +211,56 @@
     @Test
     void engine_thatStartedAgainWithoutARemovalIsUnknownBefore() {
         write("e1", EARLIER, "v1");
-        VersionReplay.Result result = VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, 1);
+        VersionReplay.Result result =
+                VersionReplay.replay(
+                        mEntries, mEvents, AFTER, HEARTBEAT, new VersionReplay.Times(0, 1));
         then(result.covered()).isZero();
         then(result.shares().get(KEY)).hasSize(1);
     }
+
+    private void writeCount(String id, long count) {
+        Engine e =
+                new Engine(
+                        id,
+                        0,
+                        "llm",
+                        "v1",
+                        "10.0.0.1",
+                        80,
+                        "d",
+                        4,
+                        false,
+                        count,
+                        Set.of("m"),
+                        Map.of());
+        mEvents.add(new Event(id, EARLIER, Optional.of(e), false));
+    }
+
+    private Duration covered(long nowMillis) {
+        VersionReplay.Times times = new VersionReplay.Times(nowMillis, Long.MAX_VALUE);
+        return VersionReplay.replay(mEntries, mEvents, AFTER, HEARTBEAT, times).covered();
+    }
+
+    /** Replays load under which half of the heartbeats leave the entries as they were. */
+    @Test
+    void age_isThatOfTheHeartbeatsThatEntriesCount() {
+        for (int i = 20; i <= 36; i += 2) {
+            writeCount("e1", i);
+            writeCount("e2", i);
+        }
+        then(covered(37_000)).isEqualTo(HEARTBEAT.multipliedBy(16));
+    }
+
+    /** The same engine counts orders, many or few. */
+    @Test
+    void age_isThatOfTheWritesIfEntriesCountSomethingElse() {
+        for (int i = 20; i <= 36; i += 2) {
+            writeCount("e1", i);
+            writeCount("e2", i);
+        }
+        Duration byWrites = HEARTBEAT.multipliedBy(8);
+        then(covered(30_000)).isEqualTo(byWrites);
+        then(covered(60_000)).isEqualTo(byWrites);
+        then(covered(0)).isEqualTo(byWrites);
+    }
 }
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StreamOriginExchange.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StreamOriginExchange.java
@@ -79,7 +79,7 @@
      * @param peers returns the live nodes that take work
      * @param sender sends a message to an IP address
      */
-    StreamOriginExchange(
+    public StreamOriginExchange(
             NodeContext context,
             StreamOrigins origins,
             Supplier<List<Peer>> peers,
@@ -198,8 +198,12 @@
         question.result().tryComplete(version);
     }
 
-    /** Handles a message of another node, which may hold records, questions and answers. */
-    void onMessage(NodeNews message) {
+    /**
+     * Handles a message of another node.
+     *
+     * @param message may hold records, questions and answers
+     */
+    public void onMessage(NodeNews message) {
         long now = mContext.clock().now();
         StreamOriginCodec.validRecords(message)
                 .forEach(o -> onRecord(o, now - age(o).toNanos(), now));
--- a/gateway/src/main/java/org/fescuehollow/gateway/store/VersionFeed.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/VersionFeed.java
@@ -79,8 +79,7 @@
         List<VersionReplay.Event> events =
                 changes.items().stream().map(VersionFeed::event).toList();
         VersionReplay.Result replay =
-                VersionReplay.replay(
-                        mListed, events, changes.after(), heartbeat, oldestChangeMillis());
+                VersionReplay.replay(mListed, events, changes.after(), heartbeat, times());
         if (changes.after() == 0) {
             replay = new VersionReplay.Result(SINCE_THE_FIRST_CHANGE, replay.shares());
         }
@@ -95,10 +94,10 @@
                         replay.shares().size());
     }
 
-    /** Returns a Unix time before all changes, as clocks differ. */
-    private long oldestChangeMillis() {
+    private VersionReplay.Times times() {
+        long now = System.currentTimeMillis();
         double seconds = mContext.settings().storeHistorySeconds() * HISTORY_MARGIN;
-        return System.currentTimeMillis() - (long) (seconds * 1_000);
+        return new VersionReplay.Times(now, now - (long) (seconds * 1_000));
     }
 
     private static VersionReplay.Event event(StoreItem item) {
