Exchange: a node cut off from the store learns what the others read

A node that can't read the store can't tell whether its entries are still in force, and begins streams by shares that others have left (VersionRegistry). It now asks with its state messages; nodes that have read the store lately answer one question in four with the hash of their entries and its age. The answer counts from when the question was asked, however long it took. While all nodes reach the store, messages are as before.

--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/ExchangeService.java
@@ -103,7 +103,8 @@
                         new LeaseExchange(
                                 context, mIncarnation, () -> mSeeds, mSender::sendContent),
                         new StreamOriginExchange(
-                                context, origins, mLivePeers::remaining, mSender::sendContent));
+                                context, origins, mLivePeers::remaining, mSender::sendContent),
+                        new EngineReadExchange(context, mIncarnation, mSender::sendContent));
     }
 
     @Override
@@ -170,9 +171,8 @@
         long now = mContext.clock().now();
         mPeers.removeSilent(now);
         List<Peer> peers = mPeers.peers();
-        Duration ttl = mSchedule.stateTtl(peers.size());
-        mPeers.setLivenessTimeout(ttl);
-        mResidency.setUpdateTtl(ttl);
+        mPeers.setLivenessTimeout(mSchedule.stateTtl(peers.size()));
+        mResidency.setUpdateTtl(mSchedule.stateTtl(peers.size()));
         mDispatcher.setNodeCount(mPeers.size());
         mDispatcher
                 .rates()
@@ -253,7 +253,8 @@
     }
 
     private NodeNews.Builder messageBuilder() {
-        return mSender.withSender(NodeNews.newBuilder())
+        return mTopics.engineReads()
+                .addTo(mSender.withSender(NodeNews.newBuilder()), mCatalog.versions())
                 .setSequence(++mSequence)
                 .setNodes(hasFullView() ? mPeers.size() : 0)
                 .setLeaving(mLeaving);
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/StateMessageHandler.java
@@ -63,6 +63,7 @@
     void apply(NodeNews message, boolean sendsWorkToAll) {
         mTopics.leases().onMessage(message, mOrders);
         mTopics.origins().onMessage(message);
+        mTopics.engineReads().onMessage(message, mCatalog.versions());
         long now = mContext.clock().now();
         String node = message.getNode();
         Peer peer = new Peer(node, message.getDomain(), message.getIp());
--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/TopicExchanges.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/TopicExchanges.java
@@ -9,9 +9,11 @@
  * @param rates the rates of requests that engines take
  * @param leases the leases on engines
  * @param origins the software versions at which streams began
+ * @param engineReads which entries of engines nodes read
  */
 record TopicExchanges(
         SuspicionExchange suspicions,
         RateExchange rates,
         LeaseExchange leases,
-        StreamOriginExchange origins) {}
+        StreamOriginExchange origins,
+        EngineReadExchange engineReads) {}
--- a/gateway/src/test/java/org/fescuehollow/gateway/exchange/StreamOriginSocketTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/exchange/StreamOriginSocketTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import org.fescuehollow.gateway.testsupport.TestCluster;
+import org.fescuehollow.wire.ExchangeProto.EnginesRead;
 import org.fescuehollow.wire.ExchangeProto.NodeNews;
 import org.fescuehollow.wire.ExchangeProto.StreamOrigin;
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +27,7 @@
     private final Vertx mVertx = Vertx.vertx();
     private final TestCluster mCluster = new TestCluster();
     private final List<StreamOrigin> mAnswers = new CopyOnWriteArrayList<>();
+    private final List<EnginesRead> mReads = new CopyOnWriteArrayList<>();
 
     @BeforeEach
     void start() {
@@ -38,6 +40,9 @@
                     try {
                         NodeNews message = NodeNews.parseFrom(p.data().getBytes());
                         mAnswers.addAll(message.getOriginAnswersList());
+                        if (message.hasEnginesRead()) {
+                            mReads.add(message.getEnginesRead());
+                        }
                     } catch (IOException e) {
                         throw new UncheckedIOException(e);
                     }
@@ -86,6 +91,20 @@
         then(answer.getConflicting()).isFalse();
     }
 
+    @Test
+    void node_thatReadsTheStoreTellsWhichEntriesItReads() {
+        TestCluster.await(
+                () -> {
+                    send(message().setSequence(4).setEnginesAsked(77).setIncarnation(5));
+                    return !mReads.isEmpty();
+                });
+        EnginesRead read = mReads.get(0);
+        then(read.getAsked()).isEqualTo(77);
+        then(read.getIncarnation()).isEqualTo(5);
+        then(read.getMsAgo()).isBetween(0, 3_000);
+        then(read.getFingerprint()).isNotZero();
+    }
+
     @Test
     void datagrams_thatAreMalformedChangeNothing() {
         byte[] sound =
