Bench: what records of streams and the store's history cost

The capacity benchmark measures StreamOriginExchange of a whole fleet on one event loop, with encoded messages, at 95 and 300 VMs; typical state messages for comparison; and one reading of 20 s of the store's history.

--- a/bench/src/main/java/org/fescuehollow/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/fescuehollow/bench/capacity/CapacityBench.java
@@ -34,6 +34,8 @@
 public final class CapacityBench {
     private static final int NODES = 410;
     private static final int ENGINES = 4_700;
+    private static final double STREAMS_PER_SECOND = 380;
+    private static final int RESUMED_STREAMS = 300;
     private static final AdapterRef ADAPTER = new AdapterRef("adapter-12345", "v1");
 
     private final PrintStream mOut;
@@ -51,6 +53,8 @@
     public void run() {
         mOut.printf("%-44s %-34s %14s%n", "figure", "size: value", "at full size");
         measureMembership();
+        measureStreamOrigins();
+        measureEngineHistory();
         measure("settings, heap bytes", List.of(1_000, 4_000, 12_000), 12_000, this::settingsHeap);
         measure(
                 "settings, merge of one path, us",
@@ -116,6 +120,59 @@
         print("seconds to converge after losing 5% of nodes", convergence, NODES);
     }
 
+    private void measureStreamOrigins() {
+        for (int n : List.of(95, 300)) {
+            print("state messages, one VM and second", n, new StateMessageLoad(n).measure());
+            try (StreamOriginLoad load = new StreamOriginLoad(n)) {
+                load.record(STREAMS_PER_SECOND);
+                for (double share : List.of(0.0, 0.1, 0.5)) {
+                    String name = "records of %.0f%% of streams, one VM and second";
+                    print(
+                            String.format(Locale.ROOT, name, share * 100),
+                            n,
+                            load.record(STREAMS_PER_SECOND * share));
+                }
+                for (int i = 0; i < 3; i++) {
+                    StreamOriginLoad.Resumption r = load.resume(RESUMED_STREAMS);
+                    print(RESUMED_STREAMS + " streams resumed at once, one VM", n, r.cost());
+                    mOut.printf(
+                            Locale.ROOT,
+                            "%-44s %d answered, the last after %.0f ms%n",
+                            "",
+                            r.answered(),
+                            r.millis());
+                }
+            }
+        }
+    }
+
+    private void print(String name, int nodes, StreamOriginLoad.Cost cost) {
+        mOut.printf(
+                Locale.ROOT,
+                "%-44s %d VMs: %.2f datagrams, %.0f bytes, %.1f CPU us%n",
+                name,
+                nodes,
+                cost.messages(),
+                cost.bytes(),
+                cost.cpuMicros());
+        mOut.flush();
+    }
+
+    private void measureEngineHistory() {
+        for (int engines : List.of(17, 59, 190)) {
+            try (EngineHistoryLoad load = new EngineHistoryLoad(engines, 16)) {
+                mOut.printf(
+                        Locale.ROOT,
+                        "%-44s %d engines: %d bytes, first %.1f ms, median %.1f ms%n",
+                        "history of 20 s, CPU of one reading",
+                        engines,
+                        load.bytes(),
+                        load.readMillis(),
+                        load.medianMillis(9));
+            }
+        }
+    }
+
     private void measure(
             String name, List<Integer> sizes, int fullSize, IntToDoubleFunction figure) {
         SortedMap<Integer, Double> points = new TreeMap<>();
