--- a/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
+++ b/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
@@ -22,13 +22,20 @@
     /** Engines also write when their state changes, and others write to the store, too. */
     private static final double OTHER_WRITES_FACTOR = 1.2;
 
+    /** Entries may have expired while the store was away. */
+    private static final int MIN_ENGINES = 10;
+
     /** Bounds the search if the settings are unusual. */
     private static final long MAX_REVISIONS = 1_000_000;
 
     /** The oldest changes are dropped while the search goes on; a share of those that are kept. */
     private static final double AGEING_SHARE = 0.02;
 
+    /** A store with more changes than this share of the bound has probably dropped the first. */
+    private static final double OLDEST_SHARE = 0.4;
+
     private final long mRevision;
+    private final boolean mTriesOldest;
     private long mKept;
     private long mGone;
     private Call mCall = new Call(0, false);
@@ -47,16 +54,20 @@
      * Starts a search.
      *
      * @param revision the store's revision
-     * @param engines the number of engines
+     * @param engines the number of engines that are listed
      * @param history how long the store keeps changes
      * @param heartbeat the time between two writes of an engine
      */
     public HistorySearch(long revision, int engines, Duration history, Duration heartbeat) {
         mRevision = revision;
         double beats = (double) history.toNanos() / Math.max(1, heartbeat.toNanos());
-        double changes = Math.min(MAX_REVISIONS, engines * beats * OTHER_WRITES_FACTOR);
+        double changes =
+                Math.min(
+                        MAX_REVISIONS,
+                        Math.max(MIN_ENGINES, engines) * beats * OTHER_WRITES_FACTOR);
         mKept = revision;
         mGone = Math.max(-1, revision - (long) Math.ceil(changes));
+        mTriesOldest = revision <= changes * OLDEST_SHARE;
         mDone = changes < 1 || revision <= 0;
     }
 
@@ -75,7 +86,7 @@
     }
 
     private Call chooseCall() {
-        if (mGone < 0) {
+        if (mTriesOldest && mCalls == 1) {
             // All that was ever written may still be kept.
             return new Call(0, true);
         }
