--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -30,7 +30,6 @@
 public final class TestCluster implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
-
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -302,7 +301,7 @@
 
     private HttpRequest.Builder modelRequest(String path, String id) {
         return withModel(newRequest(id), "m")
-                .uri(uri(0, mListenPort, path))
+                .uri(clientUri(0, path))
                 .timeout(TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString("x"));
     }
@@ -311,9 +310,7 @@
      * Sends a request for the base model to the first node and awaits the status of its response.
      */
     public int awaitStatus(String path, String id) {
-        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
-        return StreamedResponse.awaitStatus(
-                mClient, withModel(request, "m").uri(uri(0, mListenPort, path)).build());
+        return StreamedResponse.awaitStatus(mClient, modelRequest(path, id).build());
     }
 
     /** Sends a request with the given id to a node and returns its response. */
