Versions: an engine that was first seen to drain may have served before

The shares with and without such an engine now count both, so a version is derived only if it holds either way. The age of the first shares follows from the engines that were there then, not from those that joined later.

--- a/core/src/main/java/org/fescuehollow/catalog/Engine.java
+++ b/core/src/main/java/org/fescuehollow/catalog/Engine.java
@@ -57,6 +57,19 @@
      * @return the draining engine
      */
     public Engine asDraining() {
+        return withDraining(true);
+    }
+
+    /**
+     * Returns this engine as it was before it began to drain.
+     *
+     * @return the engine that accepts new requests
+     */
+    public Engine asReady() {
+        return withDraining(false);
+    }
+
+    private Engine withDraining(boolean drains) {
         return new Engine(
                 id,
                 startedMillis,
@@ -66,7 +79,7 @@
                 port,
                 domain,
                 slots,
-                true,
+                drains,
                 orderCount,
                 models,
                 adapters);
--- a/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionReplay.java
@@ -1,11 +1,14 @@
 package org.fescuehollow.versions;
 
+import static java.util.stream.Collectors.partitioningBy;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +25,9 @@
  * the result begins only after that change. Its age follows from the heartbeats since, of which
  * each engine writes one per interval. The store may drop and regain entries meanwhile.
  *
+ * <p>An engine that was first seen to drain may have done so already when the history begins, so
+ * the shares with and without it count until then.
+ *
  * <p>Not safe for concurrent use.
  */
 public final class VersionReplay {
@@ -42,6 +48,7 @@
     private final Map<Incarnation, List<Write>> mWrites = new HashMap<>();
     private final Map<String, List<Integer>> mRemovals = new HashMap<>();
     private final Map<String, Engine> mEngines = new HashMap<>();
+    private final Set<String> mDoubtful = new HashSet<>();
     private final Map<ServiceModel, List<AgedShares>> mShares = new HashMap<>();
 
     /** An engine between two starts. */
@@ -157,7 +164,11 @@
         }
         Set<String> unknown = new HashSet<>();
         for (Event first : firsts.values()) {
-            if (first.removed() || first.created() <= afterRevision) {
+            Optional<Engine> drained = first.engine().filter(this::drainedBefore);
+            if (first.created() <= afterRevision && drained.isPresent()) {
+                mEngines.put(first.id(), drained.get().asReady());
+                mDoubtful.add(first.id());
+            } else if (first.removed() || first.created() <= afterRevision) {
                 Optional.ofNullable(firstEngines.get(first.id()))
                         .filter(e -> first.removed() || first.engine().isPresent())
                         .filter(this::servedBefore)
@@ -175,13 +186,14 @@
             next++;
         }
         int start = next;
+        Duration covered = minAge(start);
         keysOf(mEngines.values()).forEach(k -> addShares(k, start));
         for (; next < mEvents.size(); next++) {
             int applied = next + 1;
             Set<ServiceModel> changed = apply(mEvents.get(next));
             changed.forEach(k -> addShares(k, applied));
         }
-        return new Result(minAge(start), mShares);
+        return new Result(covered, mShares);
     }
 
     /** An engine doesn't cease to drain, so it served from its start until it was first seen. */
@@ -189,8 +201,14 @@
         return !engine.draining() && engine.startedMillis() < mTimes.bornBeforeMillis();
     }
 
+    /** Such an engine served, or drained already, from its start until it was first seen. */
+    private boolean drainedBefore(Engine engine) {
+        return engine.draining() && engine.startedMillis() < mTimes.bornBeforeMillis();
+    }
+
     /** Applies a change and returns which shares it may have changed. */
     private Set<ServiceModel> apply(Event event) {
+        mDoubtful.remove(event.id());
         Optional<Engine> before = Optional.ofNullable(mEngines.remove(event.id()));
         event.engine().ifPresent(e -> mEngines.put(event.id(), e));
         Set<ServiceModel> keys = new HashSet<>();
@@ -208,17 +226,37 @@
     }
 
     private void addShares(ServiceModel key, int applied) {
-        VersionShares shares = VersionShares.count(mEngines.values(), key);
         List<AgedShares> all = mShares.computeIfAbsent(key, k -> new ArrayList<>());
-        if (all.isEmpty() || !all.get(all.size() - 1).shares().equals(shares)) {
-            all.add(new AgedShares(shares, minAge(applied)));
+        Duration age = minAge(applied);
+        for (VersionShares shares : possibleShares(key)) {
+            if (all.isEmpty() || !all.get(all.size() - 1).shares().equals(shares)) {
+                all.add(new AgedShares(shares, age));
+            }
         }
     }
 
+    /** Returns the shares with any of the engines that may have drained already. */
+    private Set<VersionShares> possibleShares(ServiceModel key) {
+        Map<Boolean, List<Engine>> engines =
+                mEngines.values().stream().collect(partitioningBy(e -> mDoubtful.contains(e.id())));
+        Set<VersionShares> possible = new LinkedHashSet<>();
+        possible.add(VersionShares.count(engines.get(false), key));
+        engines.get(true).stream()
+                .filter(key::isServedBy)
+                .forEach(
+                        e ->
+                                possible.addAll(
+                                        possible.stream()
+                                                .map(s -> s.plus(e.softwareVersion()))
+                                                .toList()));
+        return possible;
+    }
+
     /** Returns how long ago a number of changes had been made, at least. */
     private Duration minAge(int applied) {
         List<Long> beats =
                 mEngines.values().stream()
+                        .filter(e -> !mDoubtful.contains(e.id()))
                         .filter(e -> isThereAtTheEnd(e, applied))
                         .map(e -> beatsFrom(e, applied))
                         .sorted()
--- a/core/src/main/java/org/fescuehollow/versions/VersionShares.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionShares.java
@@ -72,6 +72,18 @@
         return engines.keySet();
     }
 
+    /**
+     * Returns these shares with one more engine.
+     *
+     * @param version the engine's version
+     * @return the shares
+     */
+    public VersionShares plus(String version) {
+        Map<String, Integer> more = new TreeMap<>(engines);
+        more.merge(version, 1, Integer::sum);
+        return new VersionShares(more);
+    }
+
     /**
      * Returns these shares for some of the versions.
      *
