--- a/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
+++ b/core/src/main/java/org/fescuehollow/versions/VersionRegistry.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -25,8 +26,8 @@
  * <p>Failure patterns: a node that can't reach the store goes on beginning streams by old shares,
  * and one that listed the entries anew has missed what changed before. Neither derives versions
  * until it knows again what the other nodes have in force. While other nodes confirm the entries
- * that it has, a node needn't reach the store itself; once they have others, it begins no streams.
- * If none reaches the store, nothing changes, and all go on.
+ * that it has, a node needn't reach the store itself; once they have others, or it no longer hears
+ * them, it begins no streams. If none reaches the store, nothing changes, and all go on.
  *
  * <p>Times are monotonic, in nanoseconds. Not safe for concurrent use.
  */
@@ -47,6 +48,7 @@
     private long mSettledFrom;
     private long mFingerprint;
     private long mPeersDifferNanos = Long.MIN_VALUE;
+    private OptionalLong mPeerHeard = OptionalLong.empty();
 
     /** A version of a service that an engine in use has. */
     private record Served(ServiceModel key, String version) {}
@@ -216,14 +218,26 @@
     }
 
     /**
-     * Returns whether other nodes have adopted shares that this node can't read, so that it begins
-     * no streams.
+     * Handles any message of another node, also of one that can't reach the store.
      *
      * @param now the current time
-     * @return true until it reaches the store, or other nodes confirm its entries
+     */
+    public void onPeerHeard(long now) {
+        mPeerHeard = OptionalLong.of(now);
+    }
+
+    /**
+     * Returns whether other nodes have adopted shares that this node can't read, or may have as it
+     * hears none of them any more, so that it begins no streams.
+     *
+     * @param now the current time
+     * @return true until it reaches the store, other nodes confirm its entries, or it hears that
+     *     they can't reach the store either
      */
     public boolean isOutdated(long now) {
-        return mPeersDifferNanos > mLastRead && now - mLastRead > 2 * mAdoptionDelay.toNanos();
+        long limit = 2 * mAdoptionDelay.toNanos();
+        boolean alone = mPeerHeard.isPresent() && now - mPeerHeard.getAsLong() > limit;
+        return now - mLastRead > limit && (alone || mPeersDifferNanos > mLastRead);
     }
 
     /**
--- a/core/src/test/java/org/fescuehollow/versions/VersionRegistryTest.java
+++ b/core/src/test/java/org/fescuehollow/versions/VersionRegistryTest.java
@@ -143,10 +143,22 @@
         VersionRegistry peer = new VersionRegistry(Duration.ofMillis(1_500));
         peer.onListed(List.of(engine("e1", "v2", false)), 0);
         mRegistry.onPeerRead(peer.fingerprint(), peer.lastReadNanos());
+        mRegistry.onPeerHeard(seconds(59));
         then(mRegistry.isOutdated(seconds(60))).isFalse();
         then(pick(STAYS, 60)).contains("v1");
     }
 
+    /** Guards against streams that a node begins by old shares while it is cut off from all. */
+    @Test
+    void pick_isEmptyWhileNeitherTheStoreNorOtherNodesAreReached() {
+        list(0, engine("e1", "v1", false));
+        mRegistry.onPeerHeard(seconds(1));
+        then(pick(STAYS, 4)).contains("v1");
+        then(pick(STAYS, 4.1)).isEmpty();
+        keepReading(4.2);
+        then(pick(STAYS, 4.2)).contains("v1");
+    }
+
     /** Guards against old shares that a node goes on by after it missed when others left them. */
     @Test
     void pick_afterALateReadWaitsForStreamsWhoseVersionChanges() {
