Versions: the time that a client has left bounds the age of the stream that it takes up

A client states the time left of its stream, so what it resumes 5 s after its start is known to be that young. If a client waits for longer than a stream lives at most, the longest life counts as before.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/StreamVersion.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/StreamVersion.java
@@ -22,11 +22,18 @@
  * was found. Not thread-safe; used on the node's event loop.
  */
 final class StreamVersion {
+    /** The longest time for which clients wait for a stream, over all their attempts. */
+    private static final Duration MIN_LIFE = Duration.ofSeconds(15);
+
+    /** Between the time at which a client states its deadline and the use of that here. */
+    private static final Duration DELAY = Duration.ofSeconds(1);
+
     private final StreamVersions mVersions;
     private final boolean mRestricted;
     private final boolean mTakenUp;
     private final String mOrigin;
     private final Duration mLife;
+    private final Duration mAge;
     private Optional<String> mVersion = Optional.empty();
     private boolean mRelayed;
     private boolean mTold;
@@ -36,7 +43,19 @@
         mRestricted = route.kind() == RouteKind.STREAM && route.isRetryable();
         mTakenUp = mRestricted && !head.lastEventId().isEmpty();
         mOrigin = mTakenUp ? head.resumes() : head.attemptId();
-        mLife = Duration.ofMillis(route.timeoutMillis());
+        Duration timeout = Duration.ofMillis(route.timeoutMillis());
+        mLife = timeout.compareTo(MIN_LIFE) > 0 ? timeout : MIN_LIFE;
+        mAge = ageAtMost(head);
+    }
+
+    /**
+     * Returns how long ago the stream began at most. A client's deadline is that of the whole
+     * stream, so the time left bounds its age, unless the client waits for longer than expected.
+     */
+    private Duration ageAtMost(RequestHead head) {
+        Duration left = Duration.ofMillis(head.timeoutMillis().orElse(0));
+        Duration age = mLife.minus(left).plus(DELAY);
+        return age.compareTo(DELAY) < 0 || age.compareTo(mLife) > 0 ? mLife : age;
     }
 
     /**
@@ -46,7 +65,7 @@
      */
     Future<Void> settle(DispatchRequest request) {
         if (mTakenUp) {
-            mVersion = mVersions.find(mOrigin, request, mLife);
+            mVersion = mVersions.find(mOrigin, request, mAge);
         }
         return isUnknown()
                 ? mVersions.ask(mOrigin).onSuccess(v -> mVersion = v).mapEmpty()
