--- a/gateway/src/main/java/org/fescuehollow/gateway/exchange/EngineReadExchange.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/exchange/EngineReadExchange.java
@@ -46,6 +46,7 @@
     /** Handles a message of another node, which may hold a question, an answer or neither. */
     void onMessage(NodeNews message, VersionRegistry versions) {
         long now = mContext.clock().now();
+        versions.onPeerHeard(now);
         boolean asks = message.getEnginesAsked() != 0;
         if (asks && message.getSequence() % QUESTIONS_PER_ANSWER == 0 && !versions.isStale(now)) {
             answer(message, versions, now);
--- a/gateway/src/test/java/org/fescuehollow/gateway/exchange/EngineReadExchangeTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/exchange/EngineReadExchangeTest.java
@@ -107,6 +107,15 @@
         then(mStale.isStale(mNow)).isTrue();
     }
 
+    @Test
+    void node_thatHearsNoOtherAnyMoreIsOutdated() {
+        long later = mNow + 10 * DELAY_NANOS;
+        then(mStale.isOutdated(later)).isFalse();
+        mExchange.onMessage(NodeNews.getDefaultInstance(), mStale);
+        then(mStale.isOutdated(mNow)).isFalse();
+        then(mStale.isOutdated(later)).isTrue();
+    }
+
     @Test
     void question_isNotAnsweredByANodeThatIsCutOffItself() {
         mExchange.onMessage(question(), mStale);
