Stop: SIGTERM just after the ports are open is a planned stop as well

A client whose connection was accepted by a node that got SIGTERM at that moment lost its request: the process ended at once, with code 143.

Cause: the handler of the signal was set after all services had started, which is after the port for clients is open. It is set first now; the stop begins once the start is done.

--- a/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/EntryNode.java
@@ -225,10 +225,11 @@
             return;
         }
         Path file = Path.of(System.getenv(NodeSettings.SETTINGS_FILE_VARIABLE));
-        EntryNode node = new EntryNode(NodeSettings.read(file));
-        node.start();
+        // Before the ports are open, so that no request is read that the signal would cut.
         CountDownLatch stop = new CountDownLatch(1);
         Signals.handle("TERM", stop::countDown);
+        EntryNode node = new EntryNode(NodeSettings.read(file));
+        node.start();
         Signals.handle("HUP", () -> node.reload(NodeSettings.read(file)));
         stop.await();
         node.drainAndStop();
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,11 +5,9 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,7 +18,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -33,10 +30,6 @@
     private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
 
-    /** Ports below those that the operating system chooses for others. */
-    private static final int MIN_PORT = 12_000;
-
-    private static final int MAX_PORT = 30_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -55,23 +48,9 @@
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
-    private final int mListenPort = freePort(0);
-    private final int mReadinessPort = freePort(1);
-    private final int mExchangePort = freePort(0);
-
-    /** Returns a free port, by its parity unlike that of the node's other server. */
-    private static int freePort(int parity) {
-        while (true) {
-            int port = 2 * ThreadLocalRandom.current().nextInt(MIN_PORT / 2, MAX_PORT / 2) + parity;
-            try (ServerSocket s = new ServerSocket(port)) {
-                return s.getLocalPort();
-            } catch (BindException e) {
-                LOG.log(System.Logger.Level.DEBUG, "port {0} is in use", port);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-    }
+    private final int mListenPort = FreePorts.choose(0);
+    private final int mReadinessPort = FreePorts.choose(1);
+    private final int mExchangePort = FreePorts.choose(0);
 
     public Vertx vertx() {
         return mVertx;
@@ -224,11 +203,17 @@
         await(() -> readiness(0) == 200);
     }
 
-    /** Starts the first node in a process of its own. */
+    /** Starts the first node in a process of its own, and waits until it is ready. */
     public EntryProcess startProcess() {
+        EntryProcess process = launchProcess();
+        await(() -> process.isAlive() && isReady());
+        return process;
+    }
+
+    /** Starts the first node in a process of its own. */
+    public EntryProcess launchProcess() {
         EntryProcess process = new EntryProcess(settings(0));
         mProcesses.add(process);
-        await(() -> process.isAlive() && isReady());
         return process;
     }
 
