--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -218,11 +218,17 @@
         startNodes(count);
     }
 
-    /** Starts the first node in a process of its own. */
+    /** Starts the first node in a process of its own, and waits until it is ready. */
     public EntryProcess startProcess() {
+        EntryProcess process = launchProcess();
+        await(() -> process.isAlive() && isReady());
+        return process;
+    }
+
+    /** Starts the first node in a process of its own. */
+    public EntryProcess launchProcess() {
         EntryProcess process = new EntryProcess(settings(0));
         mProcesses.add(process);
-        await(() -> process.isAlive() && isReady());
         return process;
     }
 
@@ -246,18 +252,8 @@
     }
 
     private String settings(int i) {
-        String ip = "127.0.0." + (i + 1);
-        return new JsonObject()
-                .put("node", "node-" + i)
-                .put("domain", "north")
-                .put("ip", ip)
-                .put("callers", ip + ":" + mListenPort)
-                .put("readiness", ip + ":" + mReadinessPort)
-                .put("exchangePorts", new JsonArray().add(mExchangePort))
-                .put("seeds", new JsonArray().add("127.0.0.1:1"))
-                .put("store", mStore.address())
-                .put("bounds", mBounds)
-                .encode();
+        return NodeSettingsText.of(
+                i, mListenPort, mReadinessPort, mExchangePort, mStore.address(), mBounds);
     }
 
     /** Sends a datagram to a node as another node would. */
