Test: responses that end after the final answers are timed by the signal

The timers of two tests began with the first bytes of the response. A signal that came over 0.2 s later let the response end before the final answers, so that the tests passed on any code. They now begin with the signal, and the log must show that the final answers found one open request.

--- a/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
@@ -227,25 +227,28 @@
         then(runs("id-1")).isEqualTo(1);
     }
 
+    /** Ends the body of a response after the final answers, by the time of the signal. */
+    private void terminateAndEnd(CompletableFuture<HttpServerResponse> response, String rest) {
+        TestCluster.await(response::isDone);
+        mProcess.terminate();
+        later(AFTER_FINAL_ANSWERS_MILLIS, () -> response.join().end(rest));
+    }
+
+    private void thenFinalAnswersCameBefore() throws InterruptedException {
+        then(mProcess.awaitExit()).isZero();
+        then(mProcess.log()).contains("event=final_answers open=1 ");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"/chat/", "/talk/"})
     void stream_thatEndsShortlyBeforeTheExitIsWhole(String path) throws Exception {
         start();
-        onStream(
-                (e, received, r) ->
-                        e.streamOneEvent(
-                                received,
-                                r,
-                                s ->
-                                        later(
-                                                AFTER_FINAL_ANSWERS_MILLIS,
-                                                () ->
-                                                        s.end(
-                                                                "id: 2\ndata: b\n\n"
-                                                                        + "id: 3\ndata: c\n\n"))));
+        CompletableFuture<HttpServerResponse> begun = new CompletableFuture<>();
+        onStream((e, received, r) -> e.streamOneEvent(received, r, begun::complete));
         CompletableFuture<StreamedResponse> stream = send(path);
-        mProcess.terminate();
+        terminateAndEnd(begun, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
         thenIsWhole(stream);
+        thenFinalAnswersCameBefore();
     }
 
     @Test
@@ -253,19 +256,18 @@
         start();
         // Longer than what a node buffers before it relays a body.
         String start = "x".repeat(400_000);
+        CompletableFuture<HttpServerResponse> begun = new CompletableFuture<>();
         mServer.onRequest(
                 (received, request) -> {
                     HttpServerResponse response =
                             mServer.startResponse(received, request).setChunked(true);
-                    response.write(start);
-                    later(AFTER_FINAL_ANSWERS_MILLIS, () -> response.end("end"));
+                    response.write(start).onSuccess(v -> begun.complete(response));
                 });
         CompletableFuture<HttpResponse<String>> response =
                 CompletableFuture.supplyAsync(() -> mCluster.call(0, "/pay/", "id-1", "x"));
-        TestCluster.await(() -> !mServer.receivedRequests().isEmpty());
-        mProcess.terminate();
+        terminateAndEnd(begun, "end");
         then(response.get(20, TimeUnit.SECONDS).body()).isEqualTo(start + "end");
-        then(mProcess.awaitExit()).isZero();
+        thenFinalAnswersCameBefore();
     }
 
     @Test
