Responses: one that is cut over HTTP/1.0 is reset

A client that used HTTP/1.0 got a stream that was cut as a complete one: such a response has neither chunks nor a length and ends with its connection. The close is now a reset, which no complete response ends with.

A stop cut such a stream in the same way at the exit.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ClientResponse.java
@@ -1,5 +1,6 @@
 package org.fescuehollow.gateway.calls;
 
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
@@ -7,6 +8,8 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.util.Locale;
 import org.fescuehollow.platform.ResponseHead;
@@ -104,10 +107,21 @@
     /** Aborts a response that was started and can't be completed; a complete one is left alone. */
     void abort() {
         if (!mResponse.ended()) {
+            if (mRequest.version() == HttpVersion.HTTP_1_0) {
+                resetOnClose();
+            }
             mRequest.connection().close();
         }
     }
 
+    /** Makes the close a reset: over HTTP/1.0 a usual close is the end of a complete response. */
+    private void resetOnClose() {
+        ((ConnectionBase) mRequest.connection())
+                .channel()
+                .config()
+                .setOption(ChannelOption.SO_LINGER, 0);
+    }
+
     /** Sends an error response of the gateway. */
     void sendError(GatewayError error, String attemptId, double retryAfterSeconds) {
         mStarted = true;
