Stop: a stream that left one silent engine doesn't leave the next one late

A stream that had left a silent engine early in a stop left the next one, too, when it paused later: 2.4 s after the signal, where a new run may be sent until 1.9 s. The third run did not end before the exit (aborted answer_lost EXIT), though the second engine responded on.

Cause: that such a request may be sent until the final answers was meant for one that the next engine refuses; the decision to leave an engine asked the same condition. It now also asks whether a new run has time to end. Routes with two attempts did not show it.

AnswersInAStopTest#stream_thatLeftASilentEngineStaysAtTheNextOneIfNoOtherMayBeUsed failed before (1 of 1) and passes now.

--- a/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/calls/ProxiedRequest.java
@@ -290,7 +290,8 @@
     void tryLeaveSilentEngine(Engine engine, Runnable attemptCloser) {
         long now = mContext.now();
         DispatchRequest next = nextRequest();
-        if (!mayRetry() || mTraits.isBlocked()) {
+        // Also for one that left another silent engine before: this one may respond sooner.
+        if (!mayRetry() || !mContext.maySend(next, mRoute) || mTraits.isBlocked()) {
             return;
         }
         Placement placement = mContext.dispatcher().place(next, mRetries.avoidedAnd(engine), now);
--- a/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/AnswersInAStopTest.java
@@ -179,6 +179,30 @@
         then(runs("id-1")).isEqualTo(3);
     }
 
+    /** There was time to leave the first silent engine, and there is none to leave the next one. */
+    @Test
+    void stream_thatLeftASilentEngineStaysAtTheNextOneIfNoOtherMayBeUsed() throws Exception {
+        mCluster.latencyObjective(MIDDLE_OBJECTIVE_MILLIS).maxStreamAttempts(3);
+        mEngines.add(mCluster.addServer("i-4", "llm"));
+        start();
+        onStream(
+                (e, received, r) -> {
+                    if (received.id().equals("first")) {
+                        e.answerOk(received, r);
+                    } else if (runs("id-1") == 2) {
+                        HttpServerResponse next = e.startResponse(received, r).setChunked(true);
+                        later(600, () -> next.write("id: 2\ndata: b\n\n"));
+                        later(4_000, () -> next.end("id: 3\ndata: c\n\n"));
+                    } else if (runs("id-1") == 1) {
+                        e.streamOneEvent(received, r, s -> {});
+                    }
+                });
+        CompletableFuture<StreamedResponse> stream = send("/chat/");
+        mProcess.terminate();
+        thenIsWhole(stream);
+        then(runs("id-1")).isEqualTo(2);
+    }
+
     private void startWithLongStreams() {
         mCluster.latencyObjective(SHORT_OBJECTIVE_MILLIS);
         start();
--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -5,11 +5,9 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,7 +18,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -33,10 +30,6 @@
     private static final System.Logger LOG = System.getLogger(TestCluster.class.getName());
     private static final int MAX_NODES = 3;
 
-    /** Ports below those that the operating system chooses for others. */
-    private static final int MIN_PORT = 12_000;
-
-    private static final int MAX_PORT = 30_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     /**
@@ -52,26 +45,13 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private int mLatencyObjectiveMillis = 15_000;
+    private int mMaxStreamAttempts = 2;
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
-    private final int mListenPort = freePort(0);
-    private final int mReadinessPort = freePort(1);
-    private final int mExchangePort = freePort(0);
-
-    /** Returns a free port, by its parity unlike that of the node's other server. */
-    private static int freePort(int parity) {
-        while (true) {
-            int port = 2 * ThreadLocalRandom.current().nextInt(MIN_PORT / 2, MAX_PORT / 2) + parity;
-            try (ServerSocket s = new ServerSocket(port)) {
-                return s.getLocalPort();
-            } catch (BindException e) {
-                LOG.log(System.Logger.Level.DEBUG, "port {0} is in use", port);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
-    }
+    private final int mListenPort = FreePorts.find(0);
+    private final int mReadinessPort = FreePorts.find(1);
+    private final int mExchangePort = FreePorts.find(0);
 
     public Vertx vertx() {
         return mVertx;
@@ -160,7 +140,9 @@
         for (String host : hosts) {
             routes.add(route(host, "idempotent", "/read/", "plain", 2))
                     .add(route(host, "non_idempotent", "/pay/", "plain", 1))
-                    .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true))
+                    .add(
+                            route(host, "streaming", "/chat/", "llm", mMaxStreamAttempts)
+                                    .put("resumable", true))
                     .add(route(host, "streaming", "/talk/", "llm", 1));
         }
         JsonObject engine =
@@ -194,6 +176,12 @@
         return this;
     }
 
+    /** Sets how often streams that may be resumed are run, on routes published from now on. */
+    public TestCluster maxStreamAttempts(int attempts) {
+        mMaxStreamAttempts = attempts;
+        return this;
+    }
+
     /** Sets the bounds in the settings of nodes that are started from now on. */
     public TestCluster bounds(JsonObject bounds) {
         mBounds = bounds;
