--- a/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
+++ b/gateway/src/test/java/org/fescuehollow/gateway/testsupport/TestCluster.java
@@ -46,6 +46,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private int mLatencyObjectiveMillis = 15_000;
     private int mTimeoutMillis = DEADLINE_MILLIS;
+    private int mMaxStreamAttempts = 2;
     private JsonObject mBounds = new JsonObject();
     private final List<EntryNode> mNodes = new ArrayList<>();
     private final List<EntryProcess> mProcesses = new ArrayList<>();
@@ -140,7 +141,9 @@
         for (String host : hosts) {
             routes.add(route(host, "idempotent", "/read/", "plain", 2))
                     .add(route(host, "non_idempotent", "/pay/", "plain", 1))
-                    .add(route(host, "streaming", "/chat/", "llm", 2).put("resumable", true))
+                    .add(
+                            route(host, "streaming", "/chat/", "llm", mMaxStreamAttempts)
+                                    .put("resumable", true))
                     .add(route(host, "streaming", "/talk/", "llm", 1));
         }
         JsonObject engine =
@@ -180,6 +183,12 @@
         return this;
     }
 
+    /** Sets how often streams that may be resumed are run, on routes published from now on. */
+    public TestCluster maxStreamAttempts(int attempts) {
+        mMaxStreamAttempts = attempts;
+        return this;
+    }
+
     /** Sets the bounds in the settings of nodes that are started from now on. */
     public TestCluster bounds(JsonObject bounds) {
         mBounds = bounds;
@@ -295,10 +304,7 @@
     }
 
     private HttpRequest.Builder modelRequest(String path, String id) {
-        return withModel(newRequest(id), "m")
-                .uri(clientUri(0, path))
-                .timeout(TIMEOUT)
-                .POST(HttpRequest.BodyPublishers.ofString("x"));
+        return withModel(newRequest(id, "x"), "m").uri(clientUri(0, path)).timeout(TIMEOUT);
     }
 
     /**
@@ -310,8 +316,7 @@
 
     /** Sends a request with the given id to a node and returns its response. */
     public HttpResponse<String> call(int node, String path, String id, String body) {
-        HttpRequest.Builder request =
-                newRequest(id).POST(HttpRequest.BodyPublishers.ofString(body));
+        HttpRequest.Builder request = newRequest(id, body);
         if (path.startsWith("/chat/") || path.startsWith("/talk/")) {
             withModel(request, "m/a1");
         }
@@ -320,22 +325,20 @@
 
     /** Sends a request for a model, without an adapter, to the first node. */
     public HttpResponse<String> callModel(String model, String id) {
-        HttpRequest.Builder request = newRequest(id).POST(HttpRequest.BodyPublishers.ofString("x"));
-        return send(0, mListenPort, withModel(request, model), "/chat/");
+        return send(0, mListenPort, withModel(newRequest(id, "x"), model), "/chat/");
     }
 
     /** Sends a request for the base model with a prompt of the given parts to a node. */
     public HttpResponse<String> callWithPrompt(int node, String path, String id, String... parts) {
         String prefix = Arrays.stream(parts).map(p -> p + ":10").collect(Collectors.joining(","));
         HttpRequest.Builder request =
-                newRequest(id)
-                        .header("X-Fescuehollow-Prompt-Prefix", prefix)
-                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+                newRequest(id, "x").header("X-Fescuehollow-Prompt-Prefix", prefix);
         return send(node, mListenPort, withModel(request, "m"), path);
     }
 
-    private static HttpRequest.Builder newRequest(String id) {
+    private static HttpRequest.Builder newRequest(String id, String body) {
         return HttpRequest.newBuilder()
+                .POST(HttpRequest.BodyPublishers.ofString(body))
                 .header("X-Fescuehollow-Attempt-Id", id)
                 .header("X-Fescuehollow-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
     }
