--- a/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
+++ b/gateway/src/main/java/org/fescuehollow/gateway/store/CatalogService.java
@@ -43,10 +43,10 @@
     private static final double ENGINE_READ_PAUSE_DRAIN_SHARE = 0.5;
 
     /**
-     * Time for a read of the engines as a share of the settling time: a call without an answer is
-     * superseded after half of it.
+     * Time after which a read of the engines has an answer, or is superseded, as a share of the
+     * settling time. An answer may wait for a change for half of it.
      */
-    private static final double ENGINE_READ_SETTLING_SHARE = 1.0 / 3;
+    private static final double ENGINE_READ_SETTLING_SHARE = 2.0 / 3;
 
     private final NodeContext mContext;
     private final VersionRegistry mVersions;
