Catalog: the search of the store's history takes six calls

After a kill of all VMs, processes knew 13.2 s of the time before, as three calls that halve the range leave an eighth of it unsearched; streams that were resumed with more of their time used were refused. Five calls leave a 32nd. The rule LOST is still broken there: streams whose version changed within the window can't be told.

--- a/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
+++ b/core/src/main/java/org/fescuehollow/catalog/HistorySearch.java
@@ -17,7 +17,7 @@
  */
 public final class HistorySearch {
     /** Calls of one search. */
-    public static final int MAX_CALLS = 4;
+    public static final int MAX_CALLS = 6;
 
     /** Engines also write when their state changes, and others write to the store, too. */
     private static final double OTHER_WRITES_FACTOR = 1.2;
