--- a/bench/src/main/java/org/fescuehollow/bench/capacity/EngineHistoryLoad.java
+++ b/bench/src/main/java/org/fescuehollow/bench/capacity/EngineHistoryLoad.java
@@ -4,19 +4,17 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import java.lang.management.ManagementFactory;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fescuehollow.platform.EngineCodec;
+import org.fescuehollow.platform.EngineHistorySample;
 import org.fescuehollow.platform.StoreClient;
 import org.fescuehollow.platform.StoreItem;
+import org.fescuehollow.platform.StoreKeys;
 import org.fescuehollow.platform.StorePage;
 import org.fescuehollow.versions.VersionReplay;
 
@@ -42,15 +40,7 @@
      * @param writes the number of changes of each
      */
     EngineHistoryLoad(int engines, int writes) {
-        JsonArray events = new JsonArray();
-        for (int i = 0; i < engines * writes; i++) {
-            events.add(event(i % engines, i / engines, i + 1, i % engines + 1));
-        }
-        mPage =
-                new JsonObject()
-                        .put("events", events)
-                        .put("store-revision", engines * writes)
-                        .toBuffer();
+        mPage = EngineHistorySample.page(engines, writes);
         HttpServer server =
                 mServerVertx
                         .createHttpServer()
@@ -62,37 +52,6 @@
         mStore = new StoreClient(mVertx.createHttpClient(), "127.0.0.1", server.actualPort());
     }
 
-    private static JsonObject event(int engine, int write, int revision, int created) {
-        JsonObject model =
-                new JsonObject()
-                        .put("name", "model-1")
-                        .put("version", 1)
-                        .put(
-                                "adapters",
-                                new JsonArray(List.of("a1@1", "a2@1", "a3@1", "a4@1", "a5@1")));
-        String entry =
-                new JsonObject()
-                        .put("service", "assistants")
-                        .put("address", "10.1.64.42:8102")
-                        .put("zone", "domain-1")
-                        .put("version", engine % 3 == 0 ? "v1.1" : "v1")
-                        .put("slots", 96)
-                        .put("state", "ready")
-                        .put("seq-no", write)
-                        .put("cold-left-ms", 0)
-                        .put("born", 1_784_903_460_549L)
-                        .put("stage", "mixed")
-                        .put("models", new JsonArray().add(model))
-                        .encode();
-        byte[] bytes = entry.getBytes(StandardCharsets.UTF_8);
-        return new JsonObject()
-                .put("key", String.format("servers/i-%08x", engine))
-                .put("value", Base64.getEncoder().encodeToString(bytes))
-                .put("rev", revision)
-                .put("created", created)
-                .put("lease", 88_470_359_737_061L);
-    }
-
     int bytes() {
         return mPage.length();
     }
@@ -103,7 +62,7 @@
         mVertx.runOnContext(
                 v -> {
                     long before = cpuNanos();
-                    mStore.watch("servers/", 0, 0, TIMEOUT_MILLIS)
+                    mStore.watch(StoreKeys.ENGINES, 0, 0, TIMEOUT_MILLIS)
                             .map(this::replay)
                             .onSuccess(r -> result.complete((cpuNanos() - before) / 1e6))
                             .onFailure(result::completeExceptionally);
